--- /dev/null
+++ b/banyanloft/admission/floor_queue.cc
@@ -0,0 +1,230 @@
+#include <algorithm>
+#include <cassert>
+
+#include "banyanloft/admission/work_queue.h"
+
+namespace banyanloft {
+namespace {
+
+constexpr int64_t kPermille = 1000;
+/// Credit that a rank may save up or owe, in ms of its whole floor.
+constexpr int64_t kCreditWindowMs = 1000;
+
+/// Waiting work of one rank: a queue per kind, served by least time used.
+class KindShares {
+ public:
+  void Push(const GateWork& work) {
+    Kind& kind = kinds_[work.kind];
+    if (kind.waiting.empty())
+      kind.used_ms = std::max(kind.used_ms, virtual_ms_);
+    kind.waiting.push_back(work);
+    ++size_;
+  }
+
+  std::optional<GateWork> Pop() {
+    auto best = kinds_.end();
+    for (auto it = kinds_.begin(); it != kinds_.end(); ++it) {
+      if (it->second.waiting.empty()) continue;
+      if (best == kinds_.end() || it->second.used_ms < best->second.used_ms)
+        best = it;
+    }
+    if (best == kinds_.end()) return std::nullopt;
+    virtual_ms_ = best->second.used_ms;
+    GateWork work = best->second.waiting.front();
+    best->second.waiting.pop_front();
+    --size_;
+    return work;
+  }
+
+  bool Remove(uint64_t id) {
+    for (auto& [name, kind] : kinds_) {
+      auto it = std::find_if(kind.waiting.begin(), kind.waiting.end(),
+                             [&](const GateWork& w) { return w.id == id; });
+      if (it == kind.waiting.end()) continue;
+      kind.waiting.erase(it);
+      --size_;
+      return true;
+    }
+    return false;
+  }
+
+  void TakeExpired(const std::function<bool(const GateWork&)>& expired,
+                   std::vector<GateWork>* out) {
+    for (auto it = kinds_.begin(); it != kinds_.end();) {
+      std::deque<GateWork>& waiting = it->second.waiting;
+      while (!waiting.empty() && expired(waiting.front())) {
+        out->push_back(waiting.front());
+        waiting.pop_front();
+        --size_;
+      }
+      // Forget idle kinds that are owed nothing, so that memory stays bounded.
+      bool idle = waiting.empty() && it->second.used_ms <= virtual_ms_;
+      it = idle ? kinds_.erase(it) : std::next(it);
+    }
+  }
+
+  void OnStart(const std::string& kind, int64_t cost_ms) {
+    Kind& state = kinds_[kind];
+    state.used_ms =
+        std::max(state.used_ms, virtual_ms_) + std::max<int64_t>(1, cost_ms);
+  }
+
+  /// Work that a new arrival of `kind` has in front of it.
+  int64_t Ahead(const std::string& kind) const {
+    auto own = kinds_.find(kind);
+    int64_t own_waiting =
+        own == kinds_.end() ? 0
+                            : static_cast<int64_t>(own->second.waiting.size());
+    int64_t ahead = own_waiting;
+    for (const auto& [name, state] : kinds_) {
+      if (name == kind) continue;
+      ahead += std::min<int64_t>(static_cast<int64_t>(state.waiting.size()),
+                                 own_waiting + 1);
+    }
+    return ahead;
+  }
+
+  int64_t Size() const { return size_; }
+
+ private:
+  struct Kind {
+    std::deque<GateWork> waiting;
+    int64_t used_ms = 0;
+  };
+  std::map<std::string, Kind> kinds_;
+  int64_t virtual_ms_ = 0;
+  int64_t size_ = 0;
+};
+
+class FloorQueue final : public WorkQueue {
+ public:
+  FloorQueue(std::vector<RankShare> shares, int slots) : slots_(slots) {
+    assert(!shares.empty() && shares.size() <= kMaxRanks);
+    for (const RankShare& share : shares)
+      ranks_.push_back(RankState{share, {}, 0, 0});
+  }
+
+  void Push(const GateWork& work) override {
+    RankState& rank = At(work.rank);
+    if (rank.waiting.Size() == 0 && rank.running == 0) rank.credit = 0;
+    rank.waiting.Push(work);
+    ++size_;
+  }
+
+  std::optional<GateWork> Pop(TimeMs now, int max_rank) override {
+    Accrue(now);
+    int chosen = RankBelowFloor(max_rank);
+    if (chosen < 0) chosen = MostUrgentWaiting(max_rank);
+    if (chosen < 0) return std::nullopt;
+    --size_;
+    return At(chosen).waiting.Pop();
+  }
+
+  bool Remove(uint64_t id) override {
+    for (RankState& rank : ranks_) {
+      if (!rank.waiting.Remove(id)) continue;
+      --size_;
+      return true;
+    }
+    return false;
+  }
+
+  std::vector<GateWork> TakeExpired(
+      const std::function<bool(const GateWork&)>& expired) override {
+    std::vector<GateWork> out;
+    for (RankState& rank : ranks_) rank.waiting.TakeExpired(expired, &out);
+    size_ -= static_cast<int64_t>(out.size());
+    return out;
+  }
+
+  void OnStart(TimeMs now, int rank, const std::string& kind,
+               int64_t cost_ms) override {
+    Accrue(now);
+    At(rank).waiting.OnStart(kind, cost_ms);
+    ++At(rank).running;
+  }
+
+  void OnFinish(TimeMs now, int rank) override {
+    Accrue(now);
+    --At(rank).running;
+    assert(At(rank).running >= 0);
+  }
+
+  int64_t Ahead(int rank, const std::string& kind) const override {
+    int64_t own = At(rank).waiting.Ahead(kind);
+    int64_t urgent = 0;
+    for (int i = 0; i < rank; ++i) urgent += At(i).waiting.Size();
+    if (urgent == 0) return own;
+
+    // Behind a flood of more urgent work only the floor's share of slots is
+    // sure.
+    int64_t floor = std::max<int64_t>(1, At(rank).share.floor_permille);
+    return std::min(own + urgent, (own + 1) * kPermille / floor);
+  }
+
+  int64_t Waiting(int rank) const override { return At(rank).waiting.Size(); }
+  int64_t Size() const override { return size_; }
+
+ private:
+  struct RankState {
+    RankShare share;
+    KindShares waiting;
+    int64_t running;
+    /// Slot time owed to the rank, in ms of one slot times 1000.
+    int64_t credit;
+  };
+
+  RankState& At(int rank) { return ranks_[static_cast<size_t>(rank)]; }
+  const RankState& At(int rank) const {
+    return ranks_[static_cast<size_t>(rank)];
+  }
+
+  /// Gives each busy rank its floor of the time passed, less the time it used.
+  void Accrue(TimeMs now) {
+    int64_t passed_ms = now - accrued_;
+    if (passed_ms <= 0) return;
+    accrued_ = now;
+    for (RankState& rank : ranks_) {
+      if (rank.waiting.Size() == 0 && rank.running == 0) continue;
+      int64_t floor = rank.share.floor_permille * slots_;
+      int64_t cap = floor * kCreditWindowMs;
+      rank.credit += passed_ms * (floor - rank.running * kPermille);
+      rank.credit = std::clamp(rank.credit, -cap, cap);
+    }
+  }
+
+  /// The waiting rank that is furthest below its floor; -1 if none is.
+  int RankBelowFloor(int max_rank) const {
+    int best = -1;
+    for (int i = 0; i <= max_rank && i < static_cast<int>(ranks_.size()); ++i) {
+      const RankState& rank = At(i);
+      if (rank.waiting.Size() == 0 || rank.credit <= 0) continue;
+      if (rank.running * kPermille >=
+          rank.share.floor_permille * slots_ + kPermille)
+        continue;
+      if (best < 0 || rank.credit > At(best).credit) best = i;
+    }
+    return best;
+  }
+
+  int MostUrgentWaiting(int max_rank) const {
+    for (int i = 0; i <= max_rank && i < static_cast<int>(ranks_.size()); ++i) {
+      if (At(i).waiting.Size() > 0) return i;
+    }
+    return -1;
+  }
+
+  std::vector<RankState> ranks_;
+  int64_t slots_;
+  int64_t size_ = 0;
+  TimeMs accrued_;
+};
+
+}  // namespace
+
+std::unique_ptr<WorkQueue> MakeFloorQueue(std::vector<RankShare> shares,
+                                          int slots) {
+  return std::make_unique<FloorQueue>(std::move(shares), slots);
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/calls/target_runner.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "banyanloft/admission/crash_guard.h"
+#include "banyanloft/admission/gate.h"
+#include "banyanloft/calls/call_types.h"
+#include "banyanloft/config/snapshot.h"
+#include "banyanloft/core/counters.h"
+#include "banyanloft/core/random.h"
+#include "banyanloft/run_once/run_ledger.h"
+
+namespace banyanloft {
+
+/// Settings of the target's part of a call.
+struct RunnerSettings {
+  GateSettings gate;
+  RunLedgerSettings ledger;
+  CrashGuardSettings crash_guard;
+  int64_t run_limit_ms =
+      30000;  ///< Longest run of keyed work, whose caller may ask again, in ms.
+  int64_t crash_window_ms =
+      5000;  ///< A crash is blamed on runs broken this long before it, in ms.
+};
+
+/// Where an answer goes: a peer's link address, empty for this daemon itself.
+struct AnswerTo {
+  std::string link;
+  uint64_t attempt = 0;
+};
+
+/// Runs work on the backend server.
+struct StartBackend {
+  uint64_t work = 0;
+  std::string route;
+  std::string rank;
+  std::string key;
+  int64_t remaining_ms = 0;
+  int depth = 0;
+  std::string content_type;
+  std::string body;
+};
+/// Cuts off a run.
+struct CancelBackend {
+  uint64_t work = 0;
+};
+/// Tries whether the backend server takes connections.
+struct ProbeBackend {};
+/// Sends the answer of an attempt.
+struct SendRunAnswer {
+  AnswerTo to;
+  int rank_index = 0;
+  RunAnswer answer;
+};
+/// Crash strikes to be spread to the fleet.
+struct SpreadStrikesAction {
+  std::vector<CrashStrike> strikes;
+};
+using RunnerAction = std::variant<StartBackend, CancelBackend, ProbeBackend,
+                                  SendRunAnswer, SpreadStrikesAction>;
+
+/// How a run on the backend server ended.
+struct BackendResult {
+  enum class Type : uint8_t {
+    kAnswered,   ///< A whole answer came.
+    kNotSent,    ///< Nothing of the request was written: it never ran.
+    kBroken,     ///< The connection ended before a whole answer.
+    kTooLarge,   ///< The answer exceeds the limit.
+    kCancelled,  ///< Cut off on request.
+  };
+  uint64_t work = 0;
+  Type type = Type::kAnswered;
+  int http_status = 0;
+  bool not_run =
+      false;  ///< The backend server says that it did not run the work.
+  bool retried_below = false;  ///< A layer further down has retried.
+  std::string content_type;
+  std::string body;
+};
+
+/// The target's part of a call: keys, crash containment, admission, the run
+/// itself and its answer. Deterministic; not thread safe; free of I/O.
+class TargetRunner {
+ public:
+  using Actions = std::vector<RunnerAction>;
+
+  TargetRunner(const RunnerSettings& settings, MemberId self,
+               std::string secret, uint64_t seed, TimeMs now);
+
+  /// The configuration in force.
+  void SetSnapshot(TimeMs now, SnapshotPtr snapshot, Actions* actions);
+  /// Whether new work is taken, and the reason if not.
+  void SetAccepting(std::optional<ErrorKind> refusal, Actions* actions);
+  /// Slots of the backend server.
+  void SetSlots(int slots) { gate_.SetSlots(slots); }
+  /// An attempt arrived.
+  void OnRun(TimeMs now, const std::string& from_link, RunRequest request,
+             Actions* actions);
+  /// An attempt is withdrawn.
+  void OnCancel(TimeMs now, const std::string& from_link, uint64_t attempt,
+                Actions* actions);
+  /// A key is asked for.
+  KeyAnswer OnKeyRequest(TimeMs now, const KeyRequest& request);
+  /// A run on the backend server ended.
+  void OnBackend(TimeMs now, const BackendResult& result, Actions* actions);
+  /// Answer to ProbeBackend.
+  void OnBackendProbed(TimeMs now, bool up, Actions* actions);
+  /// The backend server announced itself with a new start.
+  void OnBackendRestarted(TimeMs now, Actions* actions);
+  /// Strikes from other daemons; returns those that were news.
+  std::vector<CrashStrike> OnStrikes(TimeMs now,
+                                     const std::vector<CrashStrike>& strikes);
+  /// Deadlines and limits.
+  void Tick(TimeMs now, Actions* actions);
+
+  /// Work waiting or running.
+  size_t InHand() const { return works_.size(); }
+  const Gate& GateState() const { return gate_; }
+  const RunLedger& Ledger() const { return ledger_; }
+  const Counters& Counts() const { return counters_; }
+
+ private:
+  struct Work {
+    RunRequest request;
+    std::optional<RunKey> key;
+    AnswerTo to;  ///< For work without a key.
+    uint64_t fingerprint = 0;
+    int rank_index = 0;
+    TimeMs deadline;
+    bool running = false;
+    TimeMs started;
+  };
+
+  void RunNew(TimeMs now, uint64_t id, Actions* actions);
+  std::optional<ErrorKind> CheckNew(TimeMs now, const Work& work) const;
+  void Carry(TimeMs now, const std::vector<GateAction>& gate_actions,
+             Actions* actions);
+  void StartWork(TimeMs now, uint64_t id, Actions* actions);
+  void EndWork(uint64_t id, RunOutcome outcome, bool retried_below,
+               Actions* actions);
+  void Answer(const AnswerTo& to, int rank_index, RunOutcome outcome,
+              bool retried_below, Actions* actions);
+  RunOutcome OutcomeOf(const BackendResult& result) const;
+  void NoteBroken(TimeMs now, uint64_t fingerprint, Actions* actions);
+  void OnCrash(TimeMs now, Actions* actions);
+  static std::vector<RankShare> SharesOf(const Configuration& config);
+
+  RunnerSettings settings_;
+  Random random_;
+  std::string secret_;
+  SnapshotPtr snapshot_;
+  Gate gate_;
+  RunLedger ledger_;
+  CrashGuard crash_guard_;
+  std::optional<ErrorKind> refusal_ = ErrorKind::kNotReady;
+  uint64_t next_work_ = 1;
+  std::map<uint64_t, Work> works_;
+  std::map<std::pair<std::string, uint64_t>, uint64_t> work_by_attempt_;
+  std::map<uint64_t, std::pair<AnswerTo, int>> waiters_;
+  uint64_t next_waiter_ = 1;
+  std::set<uint64_t> broken_;
+  TimeMs broken_since_{-1000000};
+  bool probing_ = false;
+  Counters counters_;
+};
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/config/json.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace banyanloft {
+
+using Json = nlohmann::json;
+
+/// Parses JSON text; a discarded value if it is malformed. Never throws.
+inline Json ParseJson(const std::string& text) {
+  return Json::parse(text, nullptr, false);
+}
+
+/// Typed reads of one JSON object. The first field that is missing or of
+/// another type is kept as the error; reads after it return defaults.
+class JsonReader {
+ public:
+  explicit JsonReader(const Json& object) : object_(object) {
+    if (!object.is_object()) error_ = "is not an object";
+  }
+
+  std::string String(const char* name) {
+    const Json* value = Find(name);
+    if (value != nullptr && value->is_string())
+      return value->get<std::string>();
+    return Fail(name, "a string"), std::string();
+  }
+  std::string StringOr(const char* name, std::string fallback) {
+    return Has(name) ? String(name) : fallback;
+  }
+  int64_t Int(const char* name) {
+    const Json* value = Find(name);
+    if (value != nullptr && value->is_number_integer())
+      return value->get<int64_t>();
+    return Fail(name, "an integer"), 0;
+  }
+  int64_t IntOr(const char* name, int64_t fallback) {
+    return Has(name) ? Int(name) : fallback;
+  }
+  bool BoolOr(const char* name, bool fallback) {
+    if (!Has(name)) return fallback;
+    const Json* value = Find(name);
+    if (value->is_boolean()) return value->get<bool>();
+    return Fail(name, "true or false"), fallback;
+  }
+  /// The member `name`, or nullptr (no error) if there is none.
+  const Json* Find(const char* name) const {
+    if (!object_.is_object()) return nullptr;
+    auto it = object_.find(name);
+    return it == object_.end() ? nullptr : &*it;
+  }
+  bool Has(const char* name) const { return Find(name) != nullptr; }
+
+  /// Empty, or what is wrong with the first bad field.
+  const std::string& FirstError() const { return error_; }
+
+ private:
+  void Fail(const char* name, const char* wanted) {
+    if (error_.empty()) error_ = std::string(name) + " is not " + wanted;
+  }
+
+  const Json& object_;
+  std::string error_;
+};
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/core/duty.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "banyanloft/core/ring.h"
+
+namespace banyanloft {
+
+/// One duty of a process: an event loop and the thread that runs it.
+class Duty {
+ public:
+  explicit Duty(std::string name)
+      : name_(std::move(name)), work_(io_.get_executor()) {}
+  ~Duty() { Stop(); }
+  Duty(const Duty&) = delete;
+  Duty& operator=(const Duty&) = delete;
+
+  /// The duty's event loop.
+  boost::asio::io_context& Io() { return io_; }
+  /// Starts the thread. Call once.
+  void Start() {
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  /// Ends the loop and joins the thread. Not to be called on the duty's own
+  /// thread.
+  void Stop() {
+    io_.stop();
+    if (thread_.joinable()) thread_.join();
+  }
+
+ private:
+  std::string name_;
+  boost::asio::io_context io_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_;
+  std::thread thread_;
+};
+
+/// Bounded mailbox of a duty: other threads push, the duty's thread consumes.
+template <typename T>
+class Inbox {
+ public:
+  /// `consume` runs on the thread of `duty` for each item, in order.
+  Inbox(Duty& duty, size_t capacity, std::function<void(T)> consume)
+      : duty_(duty), ring_(capacity), consume_(std::move(consume)) {}
+
+  /// Hands over `item`; false if the mailbox is full, `item` is then untouched.
+  bool TryPush(T& item) {
+    typename Ring<T>::Push pushed = ring_.TryPush(item);
+    if (pushed == Ring<T>::Push::kFull) return false;
+    if (pushed == Ring<T>::Push::kFirst)
+      boost::asio::post(duty_.Io(), [this] { Drain(); });
+    return true;
+  }
+
+ private:
+  void Drain() {
+    while (std::optional<T> item = ring_.TryPop()) consume_(std::move(*item));
+  }
+
+  Duty& duty_;
+  Ring<T> ring_;
+  std::function<void(T)> consume_;
+};
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/daemon/daemon_options.cc
@@ -0,0 +1,93 @@
+#include "banyanloft/daemon/daemon_options.h"
+
+#include "banyanloft/core/log.h"
+#include "banyanloft/core/random.h"
+
+namespace banyanloft {
+namespace {
+
+constexpr size_t kMinSecretBytes = 8;
+/// Time that each expected member adds to the window of first platform calls,
+/// in ms.
+constexpr int64_t kStartWindowPerMemberMs = 5;
+constexpr int64_t kMaxFleet = 100000;
+
+Endpoint EndpointOf(const std::string& text) {
+  Endpoint endpoint;
+  ParseEndpoint(text, &endpoint);
+  return endpoint;
+}
+
+}  // namespace
+
+DaemonOptions::DaemonOptions() {
+  table_.Text("zone", &zone_, "availability zone of this instance", true);
+  table_.Text("secret", &secret_, "the fleet's shared secret, at least 8 bytes",
+              true);
+  table_.Address("backend", &backend_, "address of the backend server", true);
+  table_.Address("platform", &platform_,
+                 "address of the platform's object API; empty: peers only");
+  table_.Addresses("peers", &peers_,
+                   "gossip addresses to join through, separated by commas");
+  table_.Address("caller-listen", &caller_,
+                 "where callers connect; port 0: any free one");
+  table_.Address("link-listen", &link_,
+                 "where peers connect (TCP); port 0: any free one");
+  table_.Address("gossip-listen", &gossip_,
+                 "where peers' datagrams arrive (UDP); port 0: any free one");
+  table_.Address("admin-listen", &admin_,
+                 "where operators and the backend server connect");
+  table_.Text("address-file", &address_file_,
+              "file to write the addresses to; empty: none");
+  table_.Number("backend-connections", &backend_connections_, 1, 10000,
+                "connections to the backend server");
+  table_.Number("max-body-bytes", &max_body_bytes_, 1024,
+                4 * 1024 * 1024 - 65536,
+                "longest body of a request or an answer, in bytes");
+  table_.Number("request-timeout-ms", &request_timeout_ms_, 100, 600000,
+                "longest time for a caller's request to arrive, in ms");
+  table_.Number("max-wait-ms", &max_wait_ms_, 1, 60000,
+                "longest wait for a slot, in ms");
+  table_.Number(
+      "expected-fleet", &expected_fleet_, 1, kMaxFleet,
+      "daemons expected; herds spread their first platform calls accordingly");
+  table_.Number("seed", &seed_, 0, INT64_MAX,
+                "seed of random choices; 0: from the operating system");
+  table_.Word("log-level", &log_level_, {"debug", "info", "warning", "error"},
+              "least severe level logged");
+}
+
+OptionTable::Parsed DaemonOptions::Parse(int argc, const char* const* argv) {
+  OptionTable::Parsed parsed = table_.Parse(argc, argv);
+  if (!secret_.empty() && secret_.size() < kMinSecretBytes) {
+    parsed.errors.push_back("--secret: is shorter than 8 bytes");
+  }
+  for (const std::string& word : parsed.positional)
+    parsed.errors.push_back("unexpected word '" + word + "'");
+  LogLevel level = LogLevel::kInfo;
+  if (ParseLogLevel(log_level_, &level)) SetLogLevel(level);
+  return parsed;
+}
+
+DaemonSettings DaemonOptions::Settings() const {
+  DaemonSettings settings;
+  settings.node.zone = zone_;
+  settings.node.secret = secret_;
+  settings.node.peers = peers_;
+  settings.node.seed =
+      seed_ != 0 ? static_cast<uint64_t>(seed_) : SeedFromDevice();
+  settings.node.start_window_ms = expected_fleet_ * kStartWindowPerMemberMs;
+  settings.node.runner.gate.max_wait_ms = max_wait_ms_;
+  settings.caller_listen = EndpointOf(caller_);
+  settings.link_listen = EndpointOf(link_);
+  settings.gossip_listen = EndpointOf(gossip_);
+  settings.admin_listen = EndpointOf(admin_);
+  settings.backend = EndpointOf(backend_);
+  if (!platform_.empty()) settings.platform = EndpointOf(platform_);
+  settings.backend_connections = static_cast<size_t>(backend_connections_);
+  settings.max_body_bytes = static_cast<size_t>(max_body_bytes_);
+  settings.request_timeout_ms = request_timeout_ms_;
+  return settings;
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/daemon/metrics_page.cc
@@ -0,0 +1,110 @@
+#include "banyanloft/daemon/metrics_page.h"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+#include <map>
+
+namespace banyanloft {
+namespace {
+
+constexpr char kPrefix[] = "banyanloft_";
+
+const CounterHelp* HelpOf(const std::string& name) {
+  const std::vector<CounterHelp>& table = CounterTable();
+  auto it =
+      std::find_if(table.begin(), table.end(),
+                   [&](const CounterHelp& row) { return row.name == name; });
+  return it == table.end() ? nullptr : &*it;
+}
+
+}  // namespace
+
+const std::vector<CounterHelp>& CounterTable() {
+  static const std::vector<CounterHelp> kTable = {
+      {"calls_total", "", "Calls that callers handed in"},
+      {"calls_served_total", "rank", "Calls answered by a backend server"},
+      {"calls_abandoned_total", "", "Calls whose caller went away"},
+      {"call_attempts_total", "order", "Attempts sent, first and retried"},
+      {"refusals_total", "error", "Calls answered with an error kind"},
+      {"refusals_by_rank_total", "rank", "The same by rank"},
+      {"retries_total", "error", "Retries by the error that caused them"},
+      {"retry_verdicts_total", "verdict",
+       "Failed attempts by what was decided"},
+      {"late_answers_total", "", "Answers that came after the call had ended"},
+      {"key_resends_total", "",
+       "Keyed attempts lost on the way, to be sent again"},
+      {"keys_taken_total", "result", "Requests for a key by result"},
+      {"keys_issued_total", "", "Keys issued as home"},
+      {"keys_joined_total", "", "Copies of a key that joined its run"},
+      {"keys_answered_again_total", "", "Copies of a key told its outcome"},
+      {"runs_offered_total", "", "Attempts that reached this target"},
+      {"runs_started_total", "rank", "Runs handed to the backend server"},
+      {"runs_cancelled_total", "", "Runs withdrawn by the first daemon"},
+      {"run_refusals_total", "error", "Attempts this target refused"},
+      {"backend_crashes_total", "", "Crashes of the backend server noticed"},
+      {"membership_own_pauses_total", "", "Pauses of this process noticed"},
+      {"membership_refutations_total", "", "Claims about this process refuted"},
+      {"membership_suspicions_total", "",
+       "Members this process began to suspect"},
+      {"membership_unreachable_total", "", "Members that became unreachable"},
+      {"distribution_adoptions_total", "source", "Versions taken in force"},
+      {"distribution_refusals_total", "reason", "Versions refused"},
+      {"distribution_pulls_total", "", "Pulls sent to peers"},
+      {"distribution_pull_replies_total", "kind", "Replies to pulls"},
+      {"distribution_pull_failures_total", "reason", "Pulls given up"},
+      {"distribution_platform_reads_total", "kind",
+       "Reads and watches of the platform"},
+      {"distribution_platform_failures_total", "",
+       "Reads of the platform that failed"},
+      {"peer_messages_dropped_total", "",
+       "Messages to peers that could not be sent"},
+      {"links_opened_total", "side", "Links opened"},
+      {"links_lost_total", "", "Links that ended"},
+      {"link_messages_total", "direction", "Messages on links"},
+      {"link_bytes_total", "direction", "Bytes on links"},
+      {"link_refusals_total", "reason", "Input on links that was refused"},
+      {"datagrams_total", "direction", "Datagrams"},
+      {"datagram_bytes_total", "direction", "Bytes of datagrams"},
+      {"datagram_refusals_total", "reason", "Datagrams refused or not sent"},
+      {"queue_refusals_total", "queue",
+       "Messages refused by a full queue between threads"},
+  };
+  return kTable;
+}
+
+std::string MetricsText(const std::vector<Counters>& counters,
+                        const std::vector<Gauge>& gauges) {
+  std::map<std::string, prometheus::MetricFamily> families;
+  for (const Counters& group : counters) {
+    for (const auto& [key, value] : group.All()) {
+      const auto& [name, label] = key;
+      const CounterHelp* help = HelpOf(name);
+      prometheus::MetricFamily& family = families[name];
+      family.name = kPrefix + name;
+      family.type = prometheus::MetricType::Counter;
+      if (help != nullptr) family.help = help->help;
+      prometheus::ClientMetric metric;
+      metric.counter.value = static_cast<double>(value);
+      bool labelled = help != nullptr && !help->label.empty();
+      if (labelled) metric.label.push_back({help->label, label});
+      family.metric.push_back(std::move(metric));
+    }
+  }
+  std::vector<prometheus::MetricFamily> list;
+  for (auto& [name, family] : families) list.push_back(std::move(family));
+  for (const Gauge& gauge : gauges) {
+    prometheus::MetricFamily family;
+    family.name = kPrefix + gauge.name;
+    family.help = gauge.help;
+    family.type = prometheus::MetricType::Gauge;
+    prometheus::ClientMetric metric;
+    metric.gauge.value = gauge.value;
+    family.metric.push_back(std::move(metric));
+    list.push_back(std::move(family));
+  }
+  return prometheus::TextSerializer().Serialize(list);
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/daemon/metrics_page.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "banyanloft/core/counters.h"
+
+namespace banyanloft {
+
+/// A value that may fall as well as rise.
+struct Gauge {
+  std::string name;
+  std::string help;
+  double value = 0;
+};
+
+/// What is known of a counter: its label and its meaning.
+struct CounterHelp {
+  std::string name;
+  std::string label;  ///< Name of its one label; empty if it has none.
+  std::string help;
+};
+
+/// Every counter of the daemon.
+const std::vector<CounterHelp>& CounterTable();
+/// Text of the metrics page in the Prometheus format.
+std::string MetricsText(const std::vector<Counters>& counters,
+                        const std::vector<Gauge>& gauges);
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/http/http_client.cc
@@ -0,0 +1,316 @@
+#include "banyanloft/http/http_client.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace banyanloft {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+}  // namespace
+
+class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl> {
+ public:
+  Impl(asio::io_context& io, const HttpClientSettings& settings)
+      : io_(io), settings_(settings) {
+    beast::error_code error;
+    endpoint_ =
+        Tcp::endpoint(asio::ip::make_address(settings_.server.ip, error),
+                      settings_.server.port);
+  }
+
+  void Send(uint64_t id, HttpRequest request, int64_t timeout_ms,
+            Callback done);
+  void Cancel(uint64_t id);
+  void Probe(std::function<void(bool)> done);
+  void Close();
+
+ private:
+  class Connection;
+  struct Job {
+    uint64_t id = 0;
+    HttpRequest request;
+    SteadyTime deadline;
+    Callback done;
+  };
+
+  void Assign(Job job);
+  std::shared_ptr<Connection> TakeIdle();
+  void OnIdle(const std::shared_ptr<Connection>& connection);
+  void OnClosed();
+  void StartNext();
+  static void Fail(Job job, HttpFailure failure) {
+    HttpOutcome outcome;
+    outcome.failure = failure;
+    job.done(std::move(outcome));
+  }
+
+  asio::io_context& io_;
+  HttpClientSettings settings_;
+  Tcp::endpoint endpoint_;
+  size_t open_ = 0;
+  bool closed_ = false;
+  std::vector<std::shared_ptr<Connection>> idle_;
+  std::unordered_map<uint64_t, std::shared_ptr<Connection>> busy_;
+  std::deque<Job> waiting_;
+};
+
+/// One connection and the request it carries.
+class HttpClient::Impl::Connection
+    : public std::enable_shared_from_this<Connection> {
+ public:
+  explicit Connection(std::shared_ptr<Impl> client)
+      : client_(std::move(client)), stream_(client_->io_) {}
+
+  void Connect(Job job) {
+    job_ = std::move(job);
+    fresh_ = true;
+    auto limit =
+        std::chrono::steady_clock::now() +
+        std::chrono::milliseconds(client_->settings_.connect_timeout_ms);
+    stream_.expires_at(std::min(limit, job_->deadline));
+    stream_.async_connect(client_->endpoint_, [self = shared_from_this()](
+                                                  beast::error_code error) {
+      if (error) return self->Finish(HttpFailure::kNotSent);
+      beast::error_code ignored;
+      self->stream_.socket().set_option(Tcp::no_delay(true), ignored);
+      self->Write();
+    });
+  }
+
+  void Start(Job job) {
+    job_ = std::move(job);
+    fresh_ = false;
+    Write();
+  }
+
+  /// False once the server has closed the idle connection.
+  bool Alive() {
+    char byte = 0;
+    ssize_t got = recv(stream_.socket().native_handle(), &byte, 1,
+                       MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  void Cancel() {
+    cancelled_ = true;
+    Shut();
+  }
+  void Shut() {
+    beast::error_code ignored;
+    stream_.socket().close(ignored);
+  }
+  SteadyTime IdleSince() const { return idle_since_; }
+
+ private:
+  void Write() {
+    if (cancelled_) return Finish(HttpFailure::kNotSent);
+    const HttpRequest& request = job_->request;
+    message_.emplace();
+    message_->version(11);
+    message_->method_string(request.method);
+    message_->target(request.target);
+    message_->set(bhttp::field::host, client_->settings_.server.Text());
+    for (const auto& [name, value] : request.headers)
+      message_->set(name, value);
+    message_->body() = request.body;
+    message_->prepare_payload();
+    parser_.emplace();
+    parser_->body_limit(client_->settings_.max_body_bytes);
+    stream_.expires_at(job_->deadline);
+    bhttp::async_write(
+        stream_, *message_,
+        [self = shared_from_this()](beast::error_code error, size_t bytes) {
+          if (!error) return self->ReadAnswer();
+          self->Finish(bytes == 0 ? HttpFailure::kNotSent
+                                  : self->Reason(error));
+        });
+  }
+
+  void ReadAnswer() {
+    bhttp::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](beast::error_code error, size_t) {
+          if (error) return self->Finish(self->Reason(error));
+          self->Deliver();
+        });
+  }
+
+  HttpFailure Reason(beast::error_code error) const {
+    if (cancelled_) return HttpFailure::kCancelled;
+    if (error == beast::error::timeout) return HttpFailure::kTimeout;
+    if (error == bhttp::error::body_limit) return HttpFailure::kTooLarge;
+    return HttpFailure::kBroken;
+  }
+
+  void Deliver() {
+    bhttp::response<bhttp::string_body> message = parser_->release();
+    HttpOutcome outcome;
+    outcome.response.status = static_cast<int>(message.result_int());
+    outcome.response.content_type =
+        std::string(message[bhttp::field::content_type]);
+    for (const auto& field : message) {
+      outcome.response.headers.emplace_back(std::string(field.name_string()),
+                                            std::string(field.value()));
+    }
+    outcome.response.body = std::move(message.body());
+    Job job = std::move(*job_);
+    job_.reset();
+    client_->busy_.erase(job.id);
+    bool stays = message.keep_alive() && !cancelled_;
+    if (stays) {
+      idle_since_ = std::chrono::steady_clock::now();
+      stream_.expires_never();
+      client_->OnIdle(shared_from_this());
+    } else {
+      Shut();
+      client_->OnClosed();
+    }
+    job.done(std::move(outcome));
+  }
+
+  void Finish(HttpFailure failure) {
+    if (!job_) return;
+    Shut();
+    Job job = std::move(*job_);
+    job_.reset();
+    client_->busy_.erase(job.id);
+    client_->OnClosed();
+    if (client_->closed_) return;
+    Fail(std::move(job), failure);
+  }
+
+  std::shared_ptr<Impl> client_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<bhttp::request<bhttp::string_body>> message_;
+  std::optional<bhttp::response_parser<bhttp::string_body>> parser_;
+  std::optional<Job> job_;
+  SteadyTime idle_since_;
+  bool fresh_ = true;
+  bool cancelled_ = false;
+};
+
+void HttpClient::Impl::Send(uint64_t id, HttpRequest request,
+                            int64_t timeout_ms, Callback done) {
+  Job job;
+  job.id = id;
+  job.request = std::move(request);
+  job.deadline =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(timeout_ms);
+  job.done = std::move(done);
+  Assign(std::move(job));
+}
+
+void HttpClient::Impl::Assign(Job job) {
+  uint64_t id = job.id;
+  if (std::shared_ptr<Connection> connection = TakeIdle()) {
+    busy_[id] = connection;
+    return connection->Start(std::move(job));
+  }
+  if (open_ < settings_.max_connections) {
+    ++open_;
+    auto connection = std::make_shared<Connection>(shared_from_this());
+    busy_[id] = connection;
+    return connection->Connect(std::move(job));
+  }
+  if (waiting_.size() >= settings_.max_waiting)
+    return Fail(std::move(job), HttpFailure::kNotSent);
+  waiting_.push_back(std::move(job));
+}
+
+/// The most recently used connection that the server has not closed.
+std::shared_ptr<HttpClient::Impl::Connection> HttpClient::Impl::TakeIdle() {
+  auto limit = std::chrono::steady_clock::now() -
+               std::chrono::milliseconds(settings_.idle_timeout_ms);
+  while (!idle_.empty()) {
+    std::shared_ptr<Connection> connection = std::move(idle_.back());
+    idle_.pop_back();
+    if (connection->IdleSince() > limit && connection->Alive())
+      return connection;
+    connection->Shut();
+    --open_;
+  }
+  return nullptr;
+}
+
+void HttpClient::Impl::OnIdle(const std::shared_ptr<Connection>& connection) {
+  idle_.push_back(connection);
+  StartNext();
+}
+
+void HttpClient::Impl::OnClosed() {
+  --open_;
+  StartNext();
+}
+
+void HttpClient::Impl::StartNext() {
+  if (waiting_.empty() || closed_) return;
+  Job job = std::move(waiting_.front());
+  waiting_.pop_front();
+  asio::post(io_, [self = shared_from_this(),
+                   job = std::make_shared<Job>(std::move(job))] {
+    if (std::chrono::steady_clock::now() >= job->deadline) {
+      return Fail(std::move(*job), HttpFailure::kNotSent);
+    }
+    self->Assign(std::move(*job));
+  });
+}
+
+void HttpClient::Impl::Cancel(uint64_t id) {
+  auto it = busy_.find(id);
+  if (it != busy_.end()) return it->second->Cancel();
+  for (auto job = waiting_.begin(); job != waiting_.end(); ++job) {
+    if (job->id != id) continue;
+    Job cancelled = std::move(*job);
+    waiting_.erase(job);
+    return Fail(std::move(cancelled), HttpFailure::kNotSent);
+  }
+}
+
+void HttpClient::Impl::Probe(std::function<void(bool)> done) {
+  auto stream = std::make_shared<beast::tcp_stream>(io_);
+  stream->expires_after(
+      std::chrono::milliseconds(settings_.connect_timeout_ms));
+  stream->async_connect(
+      endpoint_, [stream, done = std::move(done)](beast::error_code error) {
+        done(!error);
+      });
+}
+
+void HttpClient::Impl::Close() {
+  closed_ = true;
+  for (auto& [id, connection] : busy_) connection->Shut();
+  for (const std::shared_ptr<Connection>& connection : idle_)
+    connection->Shut();
+  idle_.clear();
+  waiting_.clear();
+}
+
+HttpClient::HttpClient(asio::io_context& io, const HttpClientSettings& settings)
+    : impl_(std::make_shared<Impl>(io, settings)) {}
+HttpClient::~HttpClient() { impl_->Close(); }
+
+void HttpClient::Send(uint64_t id, HttpRequest request, int64_t timeout_ms,
+                      Callback done) {
+  impl_->Send(id, std::move(request), timeout_ms, std::move(done));
+}
+void HttpClient::Cancel(uint64_t id) { impl_->Cancel(id); }
+void HttpClient::Probe(std::function<void(bool)> done) {
+  impl_->Probe(std::move(done));
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/http/http_message.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace banyanloft {
+
+/// Header fields in order.
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/// Value of the first header of a name, compared without case; empty if none.
+std::string_view HeaderOf(const HttpHeaders& headers, std::string_view name);
+
+/// A request as received or to be sent.
+struct HttpRequest {
+  std::string method = "GET";
+  std::string target = "/";  ///< Path and query.
+  HttpHeaders headers;
+  std::string body;
+};
+
+/// An answer as received or to be sent.
+struct HttpResponse {
+  int status = 200;
+  HttpHeaders headers;
+  std::string content_type = "text/plain";
+  std::string body;
+};
+
+/// Path of a target without its query.
+std::string PathOf(const std::string& target);
+/// Value of a query parameter; empty if there is none.
+std::string QueryOf(const std::string& target, const std::string& name);
+
+/// Address of a TCP or UDP endpoint by IP number.
+struct Endpoint {
+  std::string ip = "127.0.0.1";
+  uint16_t port = 0;
+  std::string Text() const { return ip + ":" + std::to_string(port); }
+};
+/// Parses `ip:port`; false if it is none.
+bool ParseEndpoint(const std::string& text, Endpoint* endpoint);
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/http/http_server.cc
@@ -0,0 +1,297 @@
+#include "banyanloft/http/http_server.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <unordered_map>
+
+namespace banyanloft {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+}  // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
+ public:
+  Impl(asio::io_context& io, const HttpServerSettings& settings,
+       HttpHandler* handler)
+      : io_(io), settings_(settings), handler_(handler), acceptor_(io) {}
+
+  Result<Endpoint> Start();
+  void Reply(uint64_t id, HttpResponse response);
+  void StopAccepting();
+  void Close();
+
+ private:
+  class Session;
+
+  void Accept();
+
+  asio::io_context& io_;
+  HttpServerSettings settings_;
+  HttpHandler* handler_;
+  Tcp::acceptor acceptor_;
+  uint64_t next_request_ = 1;
+  bool stopping_ = false;
+  std::unordered_map<uint64_t, std::shared_ptr<Session>> waiting_;
+  std::unordered_map<Session*, std::weak_ptr<Session>> sessions_;
+};
+
+/// One connection: reads a request, waits for its answer, writes it, repeats.
+class HttpServer::Impl::Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(std::shared_ptr<Impl> server, Tcp::socket socket)
+      : server_(std::move(server)),
+        stream_(std::move(socket)),
+        probe_(server_->io_) {}
+  ~Session() { server_->sessions_.erase(this); }
+
+  void Read() {
+    parser_.emplace();
+    parser_->header_limit(
+        static_cast<uint32_t>(server_->settings_.max_head_bytes));
+    parser_->body_limit(server_->settings_.max_body_bytes);
+
+    // Wait for the first byte with patience, for the rest with little.
+    if (buffer_.size() > 0) return ReadRequest();
+    stream_.expires_after(
+        std::chrono::milliseconds(server_->settings_.idle_timeout_ms));
+    stream_.async_read_some(
+        buffer_.prepare(kFirstReadBytes),
+        [self = shared_from_this()](beast::error_code error, size_t bytes) {
+          if (error) return;
+          self->buffer_.commit(bytes);
+          self->ReadRequest();
+        });
+  }
+
+  void Begin() {
+    if (server_->settings_.new_connection_ms == 0) return Read();
+    probe_.expires_after(
+        std::chrono::milliseconds(server_->settings_.new_connection_ms));
+    probe_.async_wait([self = shared_from_this()](beast::error_code error) {
+      if (!error) self->Read();
+    });
+  }
+
+  void Reply(HttpResponse response, bool keep_alive) {
+    if (finished_) return;
+    request_id_ = 0;
+    probe_.cancel();
+    response_.emplace();
+    response_->version(11);
+    response_->result(static_cast<unsigned>(response.status));
+    response_->set(bhttp::field::content_type, response.content_type);
+    for (const auto& [name, value] : response.headers)
+      response_->set(name, value);
+    response_->keep_alive(keep_alive && keep_alive_ && !server_->stopping_);
+    response_->body() = std::move(response.body);
+    response_->prepare_payload();
+    stream_.expires_after(
+        std::chrono::milliseconds(server_->settings_.write_timeout_ms));
+    bhttp::async_write(
+        stream_, *response_,
+        [self = shared_from_this()](beast::error_code error, size_t) {
+          self->OnWritten(error);
+        });
+  }
+
+  void Close() {
+    beast::error_code ignored;
+    stream_.socket().close(ignored);
+    probe_.cancel();
+  }
+
+ private:
+  static constexpr size_t kFirstReadBytes = 4096;
+  static constexpr int64_t kProbePeriodMs = 20;
+  static constexpr int64_t kLingerMs = 1000;
+
+  void ReadRequest() {
+    stream_.expires_never();
+    reading_ = true;
+    probe_.expires_after(
+        std::chrono::milliseconds(server_->settings_.read_timeout_ms));
+    probe_.async_wait([self = shared_from_this()](beast::error_code error) {
+      if (!error && self->reading_) self->Refuse(ErrorKind::kSlowRequest);
+    });
+    bhttp::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](beast::error_code error, size_t) {
+          self->OnRead(error);
+        });
+  }
+
+  void OnRead(beast::error_code error) {
+    if (!reading_) return;
+    reading_ = false;
+    probe_.cancel();
+    if (!error) return Deliver();
+    bool oversized = error == bhttp::error::body_limit ||
+                     error == bhttp::error::header_limit;
+    if (oversized) return Refuse(ErrorKind::kOversizedRequest);
+    bool left = error == bhttp::error::end_of_stream ||
+                error == bhttp::error::partial_message;
+    bool malformed =
+        error.category() ==
+        bhttp::make_error_code(bhttp::error::bad_method).category();
+    if (malformed && !left) Refuse(ErrorKind::kMalformedRequest);
+  }
+
+  /// Answers what is not a sound request, then ends the connection.
+  void Refuse(ErrorKind kind) {
+    reading_ = false;
+    Reply(server_->handler_->OnRefused(kind), false);
+  }
+
+  void Deliver() {
+    bhttp::request<bhttp::string_body> message = parser_->release();
+    keep_alive_ = message.keep_alive();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message) {
+      request.headers.emplace_back(std::string(field.name_string()),
+                                   std::string(field.value()));
+    }
+    request.body = std::move(message.body());
+
+    stream_.expires_never();
+    request_id_ = server_->next_request_++;
+    server_->waiting_[request_id_] = shared_from_this();
+    WatchClient();
+    server_->handler_->OnRequest(request_id_, std::move(request));
+  }
+
+  /// While the answer is awaited, looks now and then whether the client left.
+  void WatchClient() {
+    probe_.expires_after(std::chrono::milliseconds(kProbePeriodMs));
+    probe_.async_wait([self = shared_from_this()](beast::error_code error) {
+      if (error || self->request_id_ == 0) return;
+      char byte = 0;
+      ssize_t got = recv(self->stream_.socket().native_handle(), &byte, 1,
+                         MSG_PEEK | MSG_DONTWAIT);
+      bool left =
+          got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+      if (!left) return self->WatchClient();
+      uint64_t id = self->request_id_;
+      self->request_id_ = 0;
+      self->finished_ = true;
+      self->server_->waiting_.erase(id);
+      self->server_->handler_->OnAbandoned(id);
+    });
+  }
+
+  void OnWritten(beast::error_code error) {
+    if (error) return;
+    if (!response_->need_eof()) return Read();
+    beast::error_code ignored;
+    stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    stream_.expires_after(std::chrono::milliseconds(kLingerMs));
+    Discard();
+  }
+
+  /// Reads on for a moment, so that the answer is not lost to a reset.
+  void Discard() {
+    discard_.resize(kFirstReadBytes);
+    stream_.async_read_some(
+        asio::buffer(discard_),
+        [self = shared_from_this()](beast::error_code error, size_t) {
+          if (!error) self->Discard();
+        });
+  }
+
+  std::shared_ptr<Impl> server_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<bhttp::request_parser<bhttp::string_body>> parser_;
+  std::optional<bhttp::response<bhttp::string_body>> response_;
+  asio::steady_timer probe_;
+  std::string discard_;
+  uint64_t request_id_ = 0;
+  bool reading_ = false;
+  bool keep_alive_ = true;
+  bool finished_ = false;
+};
+
+Result<Endpoint> HttpServer::Impl::Start() {
+  beast::error_code error;
+  asio::ip::address address =
+      asio::ip::make_address(settings_.listen.ip, error);
+  Tcp::endpoint endpoint(address, settings_.listen.port);
+  if (!error) acceptor_.open(endpoint.protocol(), error);
+  if (!error) acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error)
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return Error{
+        ErrorKind::kProtocolError,
+        "cannot listen on " + settings_.listen.Text() + ": " + error.message()};
+  }
+  Accept();
+  return Endpoint{settings_.listen.ip, acceptor_.local_endpoint().port()};
+}
+
+void HttpServer::Impl::Accept() {
+  acceptor_.async_accept([self = shared_from_this()](beast::error_code error,
+                                                     Tcp::socket socket) {
+    if (error == asio::error::operation_aborted || self->stopping_) return;
+    if (!error && self->sessions_.size() < self->settings_.max_connections) {
+      beast::error_code ignored;
+      socket.set_option(Tcp::no_delay(true), ignored);
+      auto session = std::make_shared<Session>(self, std::move(socket));
+      self->sessions_[session.get()] = session;
+      session->Begin();
+    }
+    self->Accept();
+  });
+}
+
+void HttpServer::Impl::Reply(uint64_t id, HttpResponse response) {
+  auto it = waiting_.find(id);
+  if (it == waiting_.end()) return;
+  std::shared_ptr<Session> session = std::move(it->second);
+  waiting_.erase(it);
+  session->Reply(std::move(response), true);
+}
+
+void HttpServer::Impl::StopAccepting() {
+  stopping_ = true;
+  beast::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void HttpServer::Impl::Close() {
+  StopAccepting();
+  waiting_.clear();
+  std::vector<std::shared_ptr<Session>> open;
+  for (auto& [raw, weak] : sessions_) {
+    if (std::shared_ptr<Session> session = weak.lock())
+      open.push_back(std::move(session));
+  }
+  for (const std::shared_ptr<Session>& session : open) session->Close();
+}
+
+HttpServer::HttpServer(asio::io_context& io, const HttpServerSettings& settings,
+                       HttpHandler* handler)
+    : impl_(std::make_shared<Impl>(io, settings, handler)) {}
+
+HttpServer::~HttpServer() { impl_->Close(); }
+
+Result<Endpoint> HttpServer::Start() { return impl_->Start(); }
+void HttpServer::Reply(uint64_t id, HttpResponse response) {
+  impl_->Reply(id, std::move(response));
+}
+void HttpServer::StopAccepting() { impl_->StopAccepting(); }
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/links/cbor.cc
@@ -0,0 +1,99 @@
+#include "banyanloft/links/cbor.h"
+
+namespace banyanloft {
+namespace {
+
+constexpr int kMaxNesting = 6;
+
+/// Builds the value, but stops at nesting that no message has, so that hostile
+/// input cannot exhaust the stack.
+class BoundedBuilder : public nlohmann::detail::json_sax_dom_parser<Json> {
+  using Base = nlohmann::detail::json_sax_dom_parser<Json>;
+
+ public:
+  explicit BoundedBuilder(Json& value) : Base(value, false) {}
+
+  // Names and signatures are the library's.
+  // NOLINTBEGIN(readability-identifier-naming)
+  bool start_array(std::size_t size) {
+    return ++depth_ <= kMaxNesting && Base::start_array(size);
+  }
+  bool end_array() { return --depth_, Base::end_array(); }
+  bool start_object(std::size_t size) {
+    return ++depth_ <= kMaxNesting && Base::start_object(size);
+  }
+  bool end_object() { return --depth_, Base::end_object(); }
+  // NOLINTEND(readability-identifier-naming)
+
+ private:
+  int depth_ = 0;
+};
+
+}  // namespace
+
+Json FromCbor(std::string_view bytes) {
+  Json value;
+  BoundedBuilder builder(value);
+  bool ok = Json::sax_parse(bytes.begin(), bytes.end(), &builder,
+                            Json::input_format_t::cbor);
+  return ok ? value : Json(Json::value_t::discarded);
+}
+
+std::string ToCbor(const Json& value) {
+  std::string out;
+  Json::to_cbor(value, nlohmann::detail::output_adapter<char>(out));
+  return out;
+}
+
+Json BytesValue(const std::string& bytes) {
+  return Json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
+}
+
+const Json& CborReader::Next() {
+  static const Json kNothing;
+  if (!ok_ || index_ >= array_.size()) {
+    ok_ = false;
+    return kNothing;
+  }
+  return array_[index_++];
+}
+
+uint64_t CborReader::Unsigned() {
+  const Json& value = Next();
+  if (ok_ && value.is_number_unsigned()) return value.get<uint64_t>();
+  ok_ = false;
+  return 0;
+}
+
+int64_t CborReader::Integer() {
+  const Json& value = Next();
+  if (ok_ && value.is_number_integer()) return value.get<int64_t>();
+  ok_ = false;
+  return 0;
+}
+
+bool CborReader::Bool() {
+  const Json& value = Next();
+  if (ok_ && value.is_boolean()) return value.get<bool>();
+  ok_ = false;
+  return false;
+}
+
+std::string CborReader::String() {
+  const Json& value = Next();
+  if (ok_ && value.is_string()) return value.get<std::string>();
+  ok_ = false;
+  return "";
+}
+
+std::string CborReader::Bytes() {
+  const Json& value = Next();
+  if (ok_ && value.is_binary()) {
+    const auto& bytes = value.get_binary();
+    return std::string(bytes.begin(), bytes.end());
+  }
+  ok_ = false;
+  return "";
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/links/frame.cc
@@ -0,0 +1,107 @@
+#include "banyanloft/links/frame.h"
+
+#include <algorithm>
+
+namespace banyanloft {
+namespace {
+
+/// A frame: one byte of flags, four bytes of stream id, then message bytes.
+constexpr size_t kHeaderBytes = 5;
+constexpr char kLastFrame = 1;
+
+std::string HeaderOf(uint32_t id, bool last) {
+  std::string header(kHeaderBytes, '\0');
+  header[0] = last ? kLastFrame : 0;
+  for (size_t i = 0; i < 4; ++i)
+    header[1 + i] = static_cast<char>((id >> (8 * i)) & 0xff);
+  return header;
+}
+
+uint32_t StreamOf(const std::string& frame) {
+  uint32_t id = 0;
+  for (size_t i = 0; i < 4; ++i) {
+    id |= static_cast<uint32_t>(static_cast<unsigned char>(frame[1 + i]))
+          << (8 * i);
+  }
+  return id;
+}
+
+}  // namespace
+
+bool FrameScheduler::Push(int rank, uint64_t tag, std::string message) {
+  bool too_long = message.size() > settings_.max_message_bytes;
+  if (message.empty() || too_long ||
+      queued_bytes_ + message.size() > settings_.max_queued_bytes) {
+    return false;
+  }
+  size_t index =
+      static_cast<size_t>(std::clamp(rank, 0, static_cast<int>(kMaxRanks) - 1));
+  queued_bytes_ += message.size();
+  ranks_[index].push_back(Stream{next_id_++, tag, std::move(message), 0});
+  return true;
+}
+
+std::optional<std::string> FrameScheduler::Pop(
+    std::optional<uint64_t>* started_tag) {
+  started_tag->reset();
+  for (std::deque<Stream>& streams : ranks_) {
+    if (streams.empty()) continue;
+    Stream stream = std::move(streams.front());
+    streams.pop_front();
+    if (stream.sent == 0) *started_tag = stream.tag;
+    size_t size =
+        std::min(settings_.chunk_bytes, stream.message.size() - stream.sent);
+    bool last = stream.sent + size == stream.message.size();
+    std::string frame = HeaderOf(stream.id, last);
+    frame.append(stream.message, stream.sent, size);
+    stream.sent += size;
+    queued_bytes_ -= size;
+    if (!last) streams.push_back(std::move(stream));
+    return frame;
+  }
+  return std::nullopt;
+}
+
+std::vector<uint64_t> FrameScheduler::UnsentTags() const {
+  std::vector<uint64_t> tags;
+  for (const std::deque<Stream>& streams : ranks_) {
+    for (const Stream& stream : streams) {
+      if (stream.sent == 0) tags.push_back(stream.tag);
+    }
+  }
+  return tags;
+}
+
+Result<std::optional<std::string>> FrameAssembler::Push(
+    const std::string& frame) {
+  if (frame.size() <= kHeaderBytes || (frame[0] & ~kLastFrame) != 0) {
+    return Error{ErrorKind::kProtocolError, "malformed frame"};
+  }
+  uint32_t id = StreamOf(frame);
+  bool last = frame[0] == kLastFrame;
+  if (dropped_.count(id) != 0) {
+    if (last) dropped_.erase(id);
+    return std::optional<std::string>();
+  }
+
+  std::string& message = partial_[id];
+  size_t size = frame.size() - kHeaderBytes;
+  bool too_long = message.size() + size > settings_.max_message_bytes;
+  if (too_long || partial_.size() > settings_.max_partial_messages) {
+    partial_bytes_ -= message.size();
+    partial_.erase(id);
+    if (!last && dropped_.size() < settings_.max_partial_messages)
+      dropped_.insert(id);
+    return Error{ErrorKind::kProtocolError,
+                 too_long ? "message too long" : "too many messages at once"};
+  }
+  message.append(frame, kHeaderBytes, size);
+  partial_bytes_ += size;
+  if (!last) return std::optional<std::string>();
+  std::optional<std::string> whole(std::move(message));
+  partial_bytes_ -= whole->size();
+  partial_.erase(id);
+  return whole;
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/links/peer_message.cc
@@ -0,0 +1,375 @@
+#include "banyanloft/links/peer_message.h"
+
+#include "banyanloft/core/digest.h"
+#include "banyanloft/links/cbor.h"
+
+namespace banyanloft {
+namespace {
+
+constexpr size_t kSealBytes = 32;
+/// Marks "no error" where an error kind may stand.
+constexpr int kNoError = -1;
+
+/// Numbers of the link messages on the wire.
+enum class MessageTag : uint8_t {
+  kRunRequest = 1,
+  kRunAnswer = 2,
+  kCancelRun = 3,
+  kKeyRequest = 4,
+  kKeyAnswer = 5,
+  kPullRequest = 6,
+  kPullReply = 7,
+  kChallenge = 8,
+  kHello = 9,
+};
+
+Json Tagged(MessageTag tag, Json fields) {
+  return Json::array({static_cast<int>(tag), std::move(fields)});
+}
+
+Json ErrorToCbor(const std::optional<ErrorKind>& error) {
+  return error ? static_cast<int>(*error) : kNoError;
+}
+
+std::optional<ErrorKind> ReadError(CborReader* reader) {
+  int64_t number = reader->Integer();
+  if (number == kNoError) return std::nullopt;
+  if (number < 0 || number >= static_cast<int64_t>(kErrorKindCount)) {
+    reader->Fail();
+    return std::nullopt;
+  }
+  return static_cast<ErrorKind>(number);
+}
+
+/// Reads an enumerator whose last value is `last`.
+template <typename Enum>
+Enum ReadEnum(CborReader* reader, Enum last) {
+  int64_t number = reader->Integer();
+  if (number >= 0 && number <= static_cast<int64_t>(last))
+    return static_cast<Enum>(number);
+  reader->Fail();
+  return static_cast<Enum>(0);
+}
+
+Json Encode(const RunRequest& m) {
+  return Tagged(
+      MessageTag::kRunRequest,
+      Json::array({m.attempt, m.route, m.rank, m.kind, m.key, m.remaining_ms,
+                   m.depth, m.content_type, BytesValue(m.body)}));
+}
+
+RunRequest ReadRunRequest(CborReader* r) {
+  RunRequest m;
+  m.attempt = r->Unsigned();
+  m.route = r->String();
+  m.rank = r->String();
+  m.kind = r->String();
+  m.key = r->String();
+  m.remaining_ms = r->Integer();
+  m.depth = r->Int();
+  m.content_type = r->String();
+  m.body = r->Bytes();
+  return m;
+}
+
+Json Encode(const RunAnswer& m) {
+  Json levels = Json::array();
+  for (int16_t level : m.load.levels) levels.push_back(level);
+  const RunOutcome& o = m.outcome;
+  return Tagged(
+      MessageTag::kRunAnswer,
+      Json::array({m.attempt, static_cast<int>(o.run_state),
+                   ErrorToCbor(o.error), o.detail, o.http_status,
+                   o.content_type, BytesValue(o.body), m.retried_below,
+                   m.load.running, m.load.waiting, levels}));
+}
+
+RunAnswer ReadRunAnswer(CborReader* r) {
+  RunAnswer m;
+  m.attempt = r->Unsigned();
+  m.outcome.run_state = ReadEnum(r, RunState::kUnknown);
+  m.outcome.error = ReadError(r);
+  m.outcome.detail = r->String();
+  m.outcome.http_status = r->Int();
+  m.outcome.content_type = r->String();
+  m.outcome.body = r->Bytes();
+  m.retried_below = r->Bool();
+  m.load.running = r->Int();
+  m.load.waiting = r->Int();
+  CborReader levels(r->Next());
+  for (int16_t& level : m.load.levels)
+    level = static_cast<int16_t>(levels.Integer());
+  if (!levels.Done()) r->Fail();
+  return m;
+}
+
+Json Encode(const CancelRun& m) {
+  return Tagged(MessageTag::kCancelRun, Json::array({m.attempt}));
+}
+Json Encode(const KeyRequest& m) {
+  return Tagged(MessageTag::kKeyRequest, Json::array({m.attempt, m.route}));
+}
+Json Encode(const KeyAnswer& m) {
+  return Tagged(MessageTag::kKeyAnswer,
+                Json::array({m.attempt, m.key, ErrorToCbor(m.error)}));
+}
+Json Encode(const PullRequest& m) {
+  return Tagged(MessageTag::kPullRequest,
+                Json::array({m.have_version, m.have_manifest}));
+}
+
+Json Encode(const PullReply& m) {
+  Json pieces = Json::array();
+  for (const auto& [name, bytes] : m.pieces)
+    pieces.push_back(Json::array({name, BytesValue(bytes)}));
+  return Tagged(
+      MessageTag::kPullReply,
+      Json::array({m.entry.version, m.entry.manifest_hash, m.entry.change_id,
+                   m.base_version, m.removed, pieces}));
+}
+
+PullReply ReadPullReply(CborReader* r) {
+  PullReply m;
+  m.entry.version = r->Unsigned();
+  m.entry.manifest_hash = r->String();
+  m.entry.change_id = r->String();
+  m.base_version = r->Unsigned();
+  const Json& removed = r->Next();
+  CborReader names(removed);
+  while (names.Ok() && !names.Done()) m.removed.push_back(names.String());
+  const Json& pieces = r->Next();
+  CborReader list(pieces);
+  while (list.Ok() && !list.Done()) {
+    CborReader piece(list.Next());
+    std::string name = piece.String();
+    m.pieces[name] = piece.Bytes();
+    if (!piece.Done()) list.Fail();
+  }
+  if (!names.Done() || !list.Done()) r->Fail();
+  return m;
+}
+
+KeyAnswer ReadKeyAnswer(CborReader* r) {
+  KeyAnswer m;
+  m.attempt = r->Unsigned();
+  m.key = r->String();
+  m.error = ReadError(r);
+  return m;
+}
+
+PeerMessage ReadMessage(MessageTag tag, CborReader* r) {
+  switch (tag) {
+    case MessageTag::kRunRequest:
+      return ReadRunRequest(r);
+    case MessageTag::kRunAnswer:
+      return ReadRunAnswer(r);
+    case MessageTag::kCancelRun:
+      return CancelRun{r->Unsigned()};
+    case MessageTag::kKeyRequest: {
+      uint64_t attempt = r->Unsigned();
+      return KeyRequest{attempt, r->String()};
+    }
+    case MessageTag::kKeyAnswer:
+      return ReadKeyAnswer(r);
+    case MessageTag::kPullRequest: {
+      uint64_t version = r->Unsigned();
+      return PullRequest{version, r->String()};
+    }
+    case MessageTag::kPullReply:
+      return ReadPullReply(r);
+    case MessageTag::kChallenge:
+    case MessageTag::kHello:
+      break;
+  }
+  r->Fail();
+  return CancelRun{};
+}
+
+Error ProtocolError(const char* what) {
+  return Error{ErrorKind::kProtocolError, std::string("malformed ") + what};
+}
+
+/// The fields of a tagged message; the tag goes to `tag`. Null if malformed.
+const Json* FieldsOf(const Json& value, int64_t* tag) {
+  bool sound =
+      value.is_array() && value.size() == 2 && value[0].is_number_integer();
+  if (!sound) return nullptr;
+  *tag = value[0].get<int64_t>();
+  return &value[1];
+}
+
+Json Encode(const MemberRecord& m) {
+  return Json::array({m.id, m.zone, m.service, m.link, m.gossip, m.incarnation,
+                      static_cast<int>(m.state), static_cast<int>(m.health),
+                      m.slots});
+}
+
+MemberRecord ReadMember(const Json& value) {
+  CborReader r(value);
+  MemberRecord m;
+  m.id = r.Unsigned();
+  m.zone = r.String();
+  m.service = r.String();
+  m.link = r.String();
+  m.gossip = r.String();
+  m.incarnation = static_cast<uint32_t>(r.Unsigned());
+  m.state = ReadEnum(&r, MemberState::kGone);
+  m.health = ReadEnum(&r, MemberHealth::kUnreachable);
+  m.slots = r.Int();
+  if (!r.Done()) m.id = 0;
+  return m;
+}
+
+Json EncodeMembers(const std::vector<MemberRecord>& members) {
+  Json list = Json::array();
+  for (const MemberRecord& member : members) list.push_back(Encode(member));
+  return list;
+}
+
+Json EncodeStrikes(const std::vector<CrashStrike>& strikes) {
+  Json list = Json::array();
+  for (const CrashStrike& strike : strikes) {
+    list.push_back(
+        Json::array({strike.fingerprint, strike.crash_id, strike.cleared}));
+  }
+  return list;
+}
+
+void ReadMembers(CborReader* r, std::vector<MemberRecord>* members) {
+  CborReader list(r->Next());
+  while (list.Ok() && !list.Done()) {
+    members->push_back(ReadMember(list.Next()));
+    if (members->back().id == 0) list.Fail();
+  }
+  if (!list.Done()) r->Fail();
+}
+
+void ReadStrikes(CborReader* r, std::vector<CrashStrike>* strikes) {
+  CborReader list(r->Next());
+  while (list.Ok() && !list.Done()) {
+    CborReader item(list.Next());
+    CrashStrike strike;
+    strike.fingerprint = item.Unsigned();
+    strike.crash_id = item.Unsigned();
+    strike.cleared = item.Bool();
+    if (!item.Done()) list.Fail();
+    strikes->push_back(strike);
+  }
+  if (!list.Done()) r->Fail();
+}
+
+}  // namespace
+
+std::string EncodePeerMessage(const PeerMessage& message) {
+  return ToCbor(std::visit([](const auto& m) { return Encode(m); }, message));
+}
+
+Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
+  Json value = FromCbor(bytes);
+  int64_t tag = 0;
+  const Json* fields = FieldsOf(value, &tag);
+  bool known = tag >= static_cast<int64_t>(MessageTag::kRunRequest) &&
+               tag <= static_cast<int64_t>(MessageTag::kPullReply);
+  if (fields == nullptr || !known) return ProtocolError("link message");
+  CborReader reader(*fields);
+  PeerMessage message = ReadMessage(static_cast<MessageTag>(tag), &reader);
+  if (!reader.Done()) return ProtocolError("link message");
+  return message;
+}
+
+std::string EncodeDatagram(const Datagram& d, const std::string& secret) {
+  Json subject = d.subject.id != 0 ? Encode(d.subject) : Json(nullptr);
+  std::string payload = ToCbor(
+      Json::array({kProtocolNewest, static_cast<int>(d.type), d.from,
+                   d.sequence, d.reply_to, subject, d.version, d.from_link,
+                   d.zone, d.detail, d.wants_reply, EncodeMembers(d.members),
+                   EncodeStrikes(d.strikes), d.digest}));
+  return KeyedHash(secret, payload) + payload;
+}
+
+Result<Datagram> DecodeDatagram(std::string_view bytes,
+                                const std::string& secret) {
+  if (bytes.size() < kSealBytes) return ProtocolError("datagram");
+  std::string_view payload = bytes.substr(kSealBytes);
+  if (!SameHash(bytes.substr(0, kSealBytes), KeyedHash(secret, payload))) {
+    return Error{ErrorKind::kProtocolError, "datagram with a foreign seal"};
+  }
+  Json value = FromCbor(payload);
+  CborReader r(value);
+  int64_t version = r.Integer();
+  if (version < kProtocolOldest || version > kProtocolNewest) {
+    return Error{ErrorKind::kProtocolError,
+                 "datagram of an unknown protocol version"};
+  }
+  Datagram d;
+  d.type = ReadEnum(&r, DatagramType::kInForce);
+  d.from = r.Unsigned();
+  d.sequence = r.Unsigned();
+  d.reply_to = r.String();
+  const Json& subject = r.Next();
+  if (!subject.is_null()) {
+    d.subject = ReadMember(subject);
+    if (d.subject.id == 0) r.Fail();
+  }
+  d.version = r.Unsigned();
+  d.from_link = r.String();
+  d.zone = r.String();
+  d.detail = r.String();
+  d.wants_reply = r.Bool();
+  ReadMembers(&r, &d.members);
+  ReadStrikes(&r, &d.strikes);
+  const Json& digest = r.Next();
+  CborReader hashes(digest);
+  while (hashes.Ok() && !hashes.Done()) d.digest.push_back(hashes.Unsigned());
+  if (!r.Done() || !hashes.Done()) return ProtocolError("datagram");
+  return d;
+}
+
+std::string EncodeChallenge(const LinkChallenge& c) {
+  return ToCbor(Tagged(MessageTag::kChallenge,
+                       Json::array({c.oldest, c.newest, c.nonce})));
+}
+
+Result<LinkChallenge> DecodeChallenge(std::string_view bytes) {
+  Json value = FromCbor(bytes);
+  int64_t tag = 0;
+  const Json* fields = FieldsOf(value, &tag);
+  if (fields == nullptr ||
+      tag != static_cast<int64_t>(MessageTag::kChallenge)) {
+    return ProtocolError("challenge");
+  }
+  CborReader r(*fields);
+  LinkChallenge c;
+  c.oldest = r.Int();
+  c.newest = r.Int();
+  c.nonce = r.String();
+  if (!r.Ok()) return ProtocolError("challenge");
+  return c;
+}
+
+std::string EncodeHello(const LinkHello& h) {
+  return ToCbor(Tagged(MessageTag::kHello,
+                       Json::array({h.version, h.link_address, h.proof})));
+}
+
+Result<LinkHello> DecodeHello(std::string_view bytes) {
+  Json value = FromCbor(bytes);
+  int64_t tag = 0;
+  const Json* fields = FieldsOf(value, &tag);
+  if (fields == nullptr || tag != static_cast<int64_t>(MessageTag::kHello))
+    return ProtocolError("hello");
+  CborReader r(*fields);
+  LinkHello h;
+  h.version = r.Int();
+  h.link_address = r.String();
+  h.proof = r.String();
+  if (!r.Ok()) return ProtocolError("hello");
+  return h;
+}
+
+std::string HelloProof(const std::string& secret, const std::string& nonce,
+                       const std::string& link_address) {
+  return KeyedHash(secret, "hello " + nonce + " " + link_address);
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/links/peer_message.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "banyanloft/calls/call_types.h"
+#include "banyanloft/distribution/distributor.h"
+#include "banyanloft/membership/member.h"
+
+namespace banyanloft {
+
+/// A message on the link between two daemons.
+using PeerMessage = std::variant<RunRequest, RunAnswer, CancelRun, KeyRequest,
+                                 KeyAnswer, PullRequest, PullReply>;
+
+/// Protocol versions that this release speaks; links use the highest common
+/// one.
+inline constexpr int kProtocolOldest = 1;
+inline constexpr int kProtocolNewest = 1;
+
+/// CBOR of a link message.
+std::string EncodePeerMessage(const PeerMessage& message);
+/// Decodes a link message. Any flaw is kProtocolError.
+Result<PeerMessage> DecodePeerMessage(std::string_view bytes);
+
+/// CBOR of a datagram, sealed with the fleet's secret.
+std::string EncodeDatagram(const Datagram& datagram, const std::string& secret);
+/// Checks the seal, then decodes. Any flaw is kProtocolError.
+Result<Datagram> DecodeDatagram(std::string_view bytes,
+                                const std::string& secret);
+
+/// First messages of a link, before anything else is accepted.
+struct LinkChallenge {
+  int oldest = kProtocolOldest;
+  int newest = kProtocolNewest;
+  std::string nonce;
+};
+struct LinkHello {
+  int version = kProtocolNewest;
+  std::string
+      link_address;   ///< Where the connecting daemon takes links itself.
+  std::string proof;  ///< Keyed hash over nonce and address.
+};
+std::string EncodeChallenge(const LinkChallenge& challenge);
+Result<LinkChallenge> DecodeChallenge(std::string_view bytes);
+std::string EncodeHello(const LinkHello& hello);
+Result<LinkHello> DecodeHello(std::string_view bytes);
+/// Proof that the sender of a hello knows the secret.
+std::string HelloProof(const std::string& secret, const std::string& nonce,
+                       const std::string& link_address);
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/membership/membership.cc
@@ -0,0 +1,579 @@
+#include "banyanloft/membership/membership.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "banyanloft/core/digest.h"
+
+namespace banyanloft {
+namespace {
+
+constexpr int64_t kForgetPeriodMs = 60000;
+constexpr int64_t kRelayLifeMs = 5000;
+constexpr int64_t kLongAgoMs = 3600000;
+constexpr int kNewsFactor = 3;
+constexpr size_t kStrikesPerDatagram = 8;
+constexpr int kStrikeTransmissions = 12;
+
+bool IsAlive(const MemberRecord& record) {
+  return record.state != MemberState::kGone &&
+         record.health != MemberHealth::kUnreachable;
+}
+
+}  // namespace
+
+Membership::Membership(const MembershipSettings& settings, MemberRecord self,
+                       uint64_t seed, TimeMs now, MembershipListener* listener)
+    : settings_(settings),
+      self_(std::move(self)),
+      random_(seed),
+      listener_(listener),
+      last_tick_(now),
+      next_probe_(now + static_cast<int64_t>(random_.Below(
+                            static_cast<uint64_t>(settings.probe_period_ms)))),
+      next_news_(now),
+      next_digest_(now),
+      next_revisit_(now),
+      next_forget_(now + kForgetPeriodMs) {}
+
+void Membership::AddSeeds(const std::vector<std::string>& gossip_addresses) {
+  for (const std::string& address : gossip_addresses) {
+    bool known =
+        std::find(seeds_.begin(), seeds_.end(), address) != seeds_.end();
+    if (!known && address != self_.gossip) seeds_.push_back(address);
+  }
+}
+
+void Membership::Announce(TimeMs now, MemberState state,
+                          const std::string& service, int slots) {
+  bool same =
+      self_.state == state && self_.service == service && self_.slots == slots;
+  if (same || self_.state == MemberState::kGone) return;
+  self_.state = state;
+  self_.service = service;
+  self_.slots = slots;
+  ++self_.incarnation;
+  QueueNews(self_);
+  next_news_ = now;
+  if (listener_ != nullptr) listener_->OnMemberChanged(now, self_);
+}
+
+void Membership::OnDatagram(TimeMs now, const Datagram& datagram,
+                            std::vector<DatagramOut>* out) {
+  if (datagram.from == self_.id) return;
+  for (const MemberRecord& record : datagram.members)
+    Apply(now, record, datagram.from);
+
+  switch (datagram.type) {
+    case DatagramType::kPing: {
+      Apply(now, datagram.subject, datagram.from);
+      Datagram ack = Make(DatagramType::kAck);
+      ack.sequence = datagram.sequence;
+      AddNews(&ack);
+      // A sender believed to be away learns of it here, and can refute it.
+      const MemberRecord* sender = Find(datagram.from);
+      if (sender != nullptr && sender->health != MemberHealth::kAlive)
+        ack.members.push_back(*sender);
+      out->push_back({datagram.reply_to, std::move(ack)});
+      break;
+    }
+    case DatagramType::kAck: {
+      if (probe_ && datagram.sequence == sequence_ &&
+          datagram.from == probe_->target) {
+        probe_->acked = true;
+      }
+      auto relay = relays_.find(datagram.sequence);
+      if (relay == relays_.end()) break;
+      Datagram forwarded = Make(DatagramType::kAck);
+      forwarded.from = datagram.from;
+      forwarded.sequence = relay->second.sequence;
+      out->push_back({relay->second.reply_to, std::move(forwarded)});
+      relays_.erase(relay);
+      break;
+    }
+    case DatagramType::kPingRequest: {
+      Datagram ping = Make(DatagramType::kPing);
+      ping.sequence = (uint64_t{1} << 63) | random_.Bits();
+      ping.subject = datagram.subject;
+      ping.reply_to = self_.gossip;
+      relays_[ping.sequence] = Relay{datagram.reply_to, datagram.sequence, now};
+      out->push_back({datagram.subject.gossip, std::move(ping)});
+      break;
+    }
+    case DatagramType::kDigest:
+      AnswerDigest(now, datagram, out);
+      break;
+    case DatagramType::kNews:
+    case DatagramType::kInForce:
+      break;
+  }
+}
+
+void Membership::OnLinkLost(TimeMs, const std::string& link_address) {
+  const MemberRecord* member = FindByLink(link_address);
+  if (member != nullptr && urgent_probes_.size() < alive_.size())
+    urgent_probes_.push_back(member->id);
+}
+
+void Membership::Tick(TimeMs now, std::vector<DatagramOut>* out) {
+  bool paused = NoticeOwnPause(now);
+  CheckSuspicions(now);
+
+  // Probe: ask others for help after the direct wait, judge after the period.
+  int64_t factor = 1 + awareness_;
+  if (probe_ && !probe_->acked && !probe_->indirect_sent &&
+      now - probe_->sent >= settings_.probe_timeout_ms * factor) {
+    SendIndirect(now, out);
+  }
+  bool hurry = !urgent_probes_.empty() && (!probe_ || probe_->acked);
+  if (now >= next_probe_ || (hurry && !paused)) {
+    FinishProbe(now);
+    StartProbe(now, out);
+    next_probe_ = now + settings_.probe_period_ms * factor;
+  }
+
+  if (now >= next_news_) {
+    SendNews(now, out);
+    next_news_ = now + settings_.news_period_ms;
+  }
+  if (now >= next_digest_) SendDigest(now, out);
+  if (now >= next_revisit_) {
+    Revisit(out);
+    next_revisit_ = now + settings_.revisit_period_ms;
+  }
+  if (now >= next_forget_) {
+    ForgetOld(now);
+    next_forget_ = now + kForgetPeriodMs;
+  }
+}
+
+/// After a pause of this process, all that is missing may have been missed by
+/// itself: judgements start afresh and take longer.
+bool Membership::NoticeOwnPause(TimeMs now) {
+  int64_t gap_ms = now - last_tick_;
+  last_tick_ = now;
+  if (gap_ms < settings_.pause_ms) return false;
+  counters_.Add("membership_own_pauses_total");
+  SetAwareness(awareness_ + 2);
+  probe_.reset();
+  next_probe_ = now + settings_.probe_period_ms;
+  for (auto& [id, suspicion] : suspicions_) suspicion.since = now;
+  return true;
+}
+
+const MemberRecord* Membership::Find(MemberId id) const {
+  if (id == self_.id) return &self_;
+  auto it = others_.find(id);
+  return it == others_.end() ? nullptr : &it->second;
+}
+
+const MemberRecord* Membership::FindByLink(
+    const std::string& link_address) const {
+  auto it = by_link_.find(link_address);
+  if (it == by_link_.end()) return nullptr;
+  const MemberRecord* member = Find(it->second);
+  return member != nullptr && IsAlive(*member) ? member : nullptr;
+}
+
+TimeMs Membership::StateSince(MemberId id) const {
+  auto it = state_since_.find(id);
+  return it == state_since_.end() ? TimeMs() : it->second;
+}
+
+std::vector<const MemberRecord*> Membership::RandomAlive(
+    size_t count, const std::string& only_zone) {
+  std::vector<const MemberRecord*> pool;
+  for (MemberId id : alive_) {
+    const MemberRecord& record = others_.at(id);
+    if (only_zone.empty() || record.zone == only_zone) pool.push_back(&record);
+  }
+  std::vector<const MemberRecord*> out;
+  while (out.size() < count && !pool.empty()) {
+    size_t index = random_.Below(pool.size());
+    out.push_back(pool[index]);
+    pool[index] = pool.back();
+    pool.pop_back();
+  }
+  return out;
+}
+
+std::vector<MemberId> Membership::FirstOfZone(const std::string& zone,
+                                              size_t count) const {
+  std::vector<std::pair<uint64_t, MemberId>> order;
+  auto consider = [&](const MemberRecord& record) {
+    bool fit = record.zone == zone && record.health == MemberHealth::kAlive &&
+               record.state != MemberState::kGone &&
+               record.state != MemberState::kDraining;
+    if (fit) order.emplace_back(FastHash(zone, record.id), record.id);
+  };
+  consider(self_);
+  for (MemberId id : alive_) consider(others_.at(id));
+
+  size_t wanted = std::min(count, order.size());
+  std::partial_sort(order.begin(), order.begin() + static_cast<int64_t>(wanted),
+                    order.end());
+  std::vector<MemberId> out;
+  for (size_t i = 0; i < wanted; ++i) out.push_back(order[i].second);
+  return out;
+}
+
+void Membership::SpreadStrikes(const std::vector<CrashStrike>& strikes) {
+  for (const CrashStrike& strike : strikes)
+    strike_news_.emplace_back(strike, 0);
+}
+
+void Membership::Apply(TimeMs now, const MemberRecord& news, MemberId from) {
+  if (news.id == self_.id) return Refute(now, news);
+  if (news.id == 0) return;
+  if (news.gossip == self_.gossip && news.state != MemberState::kGone)
+    return Succeed(now, news);
+  auto known = others_.find(news.id);
+  if (known != others_.end() && !Supersedes(news, known->second)) {
+    const MemberRecord& old = known->second;
+    bool accused = news.health == MemberHealth::kSuspect &&
+                   old.health == MemberHealth::kSuspect &&
+                   news.incarnation == old.incarnation;
+    if (accused) suspicions_[news.id].accusers.insert(from);
+    // Whoever still spreads what is out of date hears the newer record.
+    if (Supersedes(old, news) && news_.count(news.id) == 0)
+      news_[news.id] = News{old, NewsTransmissions() - 2};
+    return;
+  }
+  // Nothing is remembered of a member that was never known here and has left.
+  bool never_known = known == others_.end() && news.state == MemberState::kGone;
+  if (never_known) return;
+  Store(now, news);
+  if (news.health == MemberHealth::kSuspect) {
+    suspicions_[news.id] = Suspicion{now, {from}};
+  }
+  QueueNews(news);
+}
+
+/// Keeps a record that outranks what was known before.
+void Membership::Store(TimeMs now, const MemberRecord& record) {
+  auto known = others_.find(record.id);
+  bool state_changed = known == others_.end() ||
+                       known->second.state != record.state ||
+                       (known->second.health == MemberHealth::kUnreachable) !=
+                           (record.health == MemberHealth::kUnreachable);
+  others_[record.id] = record;
+  // What is learned while joining has long been so.
+  if (state_changed) state_since_[record.id] = joined_ ? now : now - kLongAgoMs;
+  if (record.health != MemberHealth::kSuspect) suspicions_.erase(record.id);
+  if (IsAlive(record)) {
+    alive_.insert(record.id);
+    by_link_[record.link] = record.id;
+  } else {
+    alive_.erase(record.id);
+    auto link = by_link_.find(record.link);
+    if (link != by_link_.end() && link->second == record.id)
+      by_link_.erase(link);
+  }
+  if (record.health == MemberHealth::kUnreachable)
+    counters_.Add("membership_unreachable_total");
+  if (listener_ != nullptr) listener_->OnMemberChanged(now, record);
+}
+
+/// Others spread something of this process that is not so: outrank it.
+void Membership::Refute(TimeMs now, const MemberRecord& claim) {
+  bool wrong =
+      claim.health != MemberHealth::kAlive ||
+      claim.incarnation > self_.incarnation ||
+      (claim.state == MemberState::kGone && self_.state != MemberState::kGone);
+  if (!wrong || claim.incarnation < self_.incarnation) return;
+  self_.incarnation = claim.incarnation + 1;
+  counters_.Add("membership_refutations_total");
+  SetAwareness(awareness_ + 1);
+  QueueNews(self_);
+  next_news_ = now;
+}
+
+/// An earlier process on this process's own address must have ended.
+void Membership::Succeed(TimeMs now, MemberRecord predecessor) {
+  predecessor.state = MemberState::kGone;
+  auto known = others_.find(predecessor.id);
+  if (known == others_.end() || known->second.state != MemberState::kGone)
+    Store(now, predecessor);
+  QueueNews(predecessor);
+}
+
+void Membership::QueueNews(const MemberRecord& record) {
+  news_[record.id] = News{record, 0};
+}
+
+void Membership::Suspect(TimeMs now, MemberId target, MemberId accuser) {
+  auto it = others_.find(target);
+  if (it == others_.end() || it->second.health != MemberHealth::kAlive) return;
+  MemberRecord record = it->second;
+  record.health = MemberHealth::kSuspect;
+  Store(now, record);
+  suspicions_[target] = Suspicion{now, {accuser}};
+  counters_.Add("membership_suspicions_total");
+  QueueNews(record);
+}
+
+void Membership::CheckSuspicions(TimeMs now) {
+  std::vector<MemberId> over;
+  for (const auto& [id, suspicion] : suspicions_) {
+    if (now - suspicion.since >= SuspicionMs(suspicion)) over.push_back(id);
+  }
+  std::sort(over.begin(), over.end());
+  for (MemberId id : over) {
+    MemberRecord record = others_.at(id);
+    record.health = MemberHealth::kUnreachable;
+    Store(now, record);
+    QueueNews(record);
+  }
+}
+
+/// Suspicion lasts shorter the more members share it, and longer while this
+/// process doubts its own health.
+int64_t Membership::SuspicionMs(const Suspicion& suspicion) const {
+  int extra = static_cast<int>(suspicion.accusers.size()) - 1;
+  int steps = std::clamp(extra, 0, settings_.accusers_for_min - 1);
+  int64_t range = settings_.suspicion_max_ms - settings_.suspicion_min_ms;
+  int64_t base = settings_.suspicion_max_ms -
+                 range * steps / (settings_.accusers_for_min - 1);
+  return base * (1 + awareness_);
+}
+
+void Membership::FinishProbe(TimeMs now) {
+  if (!probe_) return;
+  if (probe_->acked) {
+    SetAwareness(awareness_ - 1);
+  } else {
+    SetAwareness(awareness_ + 1);
+    Suspect(now, probe_->target, self_.id);
+  }
+  probe_.reset();
+}
+
+void Membership::StartProbe(TimeMs now, std::vector<DatagramOut>* out) {
+  MemberId target = NextProbeTarget();
+  if (target == 0) return;
+  probe_ = Probe{target, now, false, false};
+  sequence_ = random_.Bits() >> 1;
+  const MemberRecord& record = others_.at(target);
+  Datagram ping = Make(DatagramType::kPing);
+  ping.sequence = sequence_;
+  ping.subject = record;
+  ping.reply_to = self_.gossip;
+  AddNews(&ping);
+  out->push_back({record.gossip, std::move(ping)});
+}
+
+void Membership::SendIndirect(TimeMs, std::vector<DatagramOut>* out) {
+  probe_->indirect_sent = true;
+  const MemberRecord& target = others_.at(probe_->target);
+  for (const MemberRecord* helper :
+       RandomAlive(static_cast<size_t>(settings_.indirect_probes))) {
+    if (helper->id == target.id) continue;
+    Datagram request = Make(DatagramType::kPingRequest);
+    request.sequence = sequence_;
+    request.subject = target;
+    request.reply_to = self_.gossip;
+    out->push_back({helper->gossip, std::move(request)});
+  }
+}
+
+/// Each live member once per round, in an order shuffled anew every round.
+MemberId Membership::NextProbeTarget() {
+  while (!urgent_probes_.empty()) {
+    MemberId id = urgent_probes_.front();
+    urgent_probes_.pop_front();
+    if (alive_.count(id) != 0) return id;
+  }
+  while (true) {
+    if (probe_order_.empty()) {
+      probe_order_.assign(alive_.begin(), alive_.end());
+      for (size_t i = probe_order_.size(); i > 1; --i) {
+        std::swap(probe_order_[i - 1], probe_order_[random_.Below(i)]);
+      }
+    }
+    if (probe_order_.empty()) return 0;
+    MemberId id = probe_order_.back();
+    probe_order_.pop_back();
+    if (alive_.count(id) != 0) return id;
+  }
+}
+
+void Membership::SendNews(TimeMs, std::vector<DatagramOut>* out) {
+  if (news_.empty() && strike_news_.empty()) return;
+  for (const MemberRecord* peer :
+       RandomAlive(static_cast<size_t>(settings_.news_fanout))) {
+    Datagram datagram = Make(DatagramType::kNews);
+    AddNews(&datagram);
+    out->push_back({peer->gossip, std::move(datagram)});
+  }
+}
+
+/// Compares tables with one member: often while joining, seldom afterwards.
+void Membership::SendDigest(TimeMs now, std::vector<DatagramOut>* out) {
+  int64_t period_ms =
+      joined_ ? settings_.digest_period_ms : settings_.join_period_ms;
+  uint64_t jitter = random_.Below(static_cast<uint64_t>(period_ms) / 2 + 1);
+  next_digest_ = now + period_ms * 3 / 4 + static_cast<int64_t>(jitter);
+
+  std::string to;
+  std::vector<const MemberRecord*> peers = RandomAlive(1);
+  if (!peers.empty()) to = peers[0]->gossip;
+  bool use_seed = !seeds_.empty() && (to.empty() || random_.Below(8) == 0);
+  if (use_seed) to = seeds_[random_.Below(seeds_.size())];
+  if (to.empty()) return;
+
+  Datagram datagram = Make(DatagramType::kDigest);
+  datagram.digest = Digest();
+  datagram.reply_to = self_.gossip;
+  datagram.wants_reply = true;
+  datagram.members.push_back(self_);
+  out->push_back({to, std::move(datagram)});
+}
+
+/// Sends the records of the buckets that differ, beginning at a random one.
+void Membership::AnswerDigest(TimeMs, const Datagram& datagram,
+                              std::vector<DatagramOut>* out) {
+  if (datagram.digest.size() != kDigestBuckets) return;
+  std::vector<uint64_t> own = Digest();
+  std::set<size_t> differing;
+  for (size_t i = 0; i < kDigestBuckets; ++i) {
+    if (own[i] != datagram.digest[i]) differing.insert(i);
+  }
+  if (differing.empty()) {
+    joined_ = true;
+    return;
+  }
+
+  std::vector<const MemberRecord*> records;
+  records.push_back(&self_);
+  for (const auto& [id, record] : others_) {
+    if (differing.count(BucketOf(id)) != 0) records.push_back(&record);
+  }
+  size_t datagrams = (records.size() + settings_.news_per_datagram - 1) /
+                     settings_.news_per_datagram;
+  size_t start = datagrams > settings_.digest_reply_datagrams
+                     ? random_.Below(datagrams)
+                     : 0;
+  size_t count = std::min(datagrams, settings_.digest_reply_datagrams);
+  for (size_t i = 0; i < count; ++i) {
+    size_t first = ((start + i) % datagrams) * settings_.news_per_datagram;
+    size_t end = std::min(first + settings_.news_per_datagram, records.size());
+    Datagram news = Make(DatagramType::kNews);
+    for (size_t k = first; k < end; ++k) news.members.push_back(*records[k]);
+    out->push_back({datagram.reply_to, std::move(news)});
+  }
+  if (datagram.wants_reply) {
+    Datagram back = Make(DatagramType::kDigest);
+    back.digest = std::move(own);
+    back.reply_to = self_.gossip;
+    out->push_back({datagram.reply_to, std::move(back)});
+  }
+}
+
+/// Pings one unreachable member, telling it what is believed of it, so that a
+/// zone that was cut off is taken back as soon as it answers.
+void Membership::Revisit(std::vector<DatagramOut>* out) {
+  std::vector<const MemberRecord*> away;
+  for (const auto& [id, record] : others_) {
+    bool unreachable = record.health == MemberHealth::kUnreachable;
+    if (unreachable && record.state != MemberState::kGone)
+      away.push_back(&record);
+  }
+  if (away.empty()) return;
+  const MemberRecord& record = *away[random_.Below(away.size())];
+  Datagram ping = Make(DatagramType::kPing);
+  ping.sequence = random_.Bits() >> 1;
+  ping.subject = record;
+  ping.reply_to = self_.gossip;
+  out->push_back({record.gossip, std::move(ping)});
+}
+
+void Membership::ForgetOld(TimeMs now) {
+  for (auto it = others_.begin(); it != others_.end();) {
+    const MemberRecord& record = it->second;
+    int64_t age_ms = now - StateSince(record.id);
+    bool gone =
+        record.state == MemberState::kGone && age_ms > settings_.gone_keep_ms;
+    bool lost = record.health == MemberHealth::kUnreachable &&
+                age_ms > settings_.unreachable_keep_ms;
+    if (!gone && !lost) {
+      ++it;
+      continue;
+    }
+    state_since_.erase(record.id);
+    it = others_.erase(it);
+  }
+  for (auto it = relays_.begin(); it != relays_.end();) {
+    it = now - it->second.since > kRelayLifeMs ? relays_.erase(it)
+                                               : std::next(it);
+  }
+}
+
+Datagram Membership::Make(DatagramType type) {
+  Datagram datagram;
+  datagram.type = type;
+  datagram.from = self_.id;
+  datagram.from_link = self_.link;
+  datagram.zone = self_.zone;
+  return datagram;
+}
+
+/// Adds the news that was sent the fewest times.
+void Membership::AddNews(Datagram* datagram) {
+  std::vector<std::pair<int, MemberId>> order;
+  for (const auto& [id, news] : news_) order.emplace_back(news.sent, id);
+  size_t count = std::min(order.size(), settings_.news_per_datagram);
+  std::partial_sort(order.begin(), order.begin() + static_cast<int64_t>(count),
+                    order.end());
+  for (size_t i = 0; i < count; ++i) {
+    auto it = news_.find(order[i].second);
+    datagram->members.push_back(it->second.record);
+    if (++it->second.sent >= NewsTransmissions()) news_.erase(it);
+  }
+  size_t strikes = std::min(strike_news_.size(), kStrikesPerDatagram);
+  for (size_t i = 0; i < strikes; ++i) {
+    auto [strike, sent] = strike_news_.front();
+    strike_news_.pop_front();
+    datagram->strikes.push_back(strike);
+    if (sent + 1 < kStrikeTransmissions)
+      strike_news_.emplace_back(strike, sent + 1);
+  }
+}
+
+int Membership::NewsTransmissions() const {
+  return kNewsFactor * (1 + static_cast<int>(std::ceil(std::log2(
+                                static_cast<double>(AliveCount() + 1)))));
+}
+
+void Membership::SetAwareness(int value) {
+  awareness_ = std::clamp(value, 0, settings_.max_awareness);
+}
+
+uint64_t Membership::RecordHash(const MemberRecord& record) {
+  bool unreachable = record.health == MemberHealth::kUnreachable;
+  uint64_t fields = (static_cast<uint64_t>(record.incarnation) << 8) |
+                    (static_cast<uint64_t>(record.state) << 1) |
+                    (unreachable ? 1 : 0);
+  std::string_view bytes(reinterpret_cast<const char*>(&fields),
+                         sizeof(fields));
+  return FastHash(bytes, record.id);
+}
+
+/// One hash per bucket over the members that have not left.
+std::vector<uint64_t> Membership::Digest() const {
+  std::vector<uint64_t> buckets(kDigestBuckets, 0);
+  buckets[BucketOf(self_.id)] ^= RecordHash(self_);
+  for (const auto& [id, record] : others_) {
+    if (record.state == MemberState::kGone) continue;
+    buckets[BucketOf(id)] ^= RecordHash(record);
+  }
+  return buckets;
+}
+
+uint64_t Membership::StateHash() const {
+  std::vector<uint64_t> digest = Digest();
+  std::string_view bytes(reinterpret_cast<const char*>(digest.data()),
+                         digest.size() * sizeof(uint64_t));
+  return FastHash(bytes, news_.size());
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/membership/membership.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "banyanloft/core/counters.h"
+#include "banyanloft/core/random.h"
+#include "banyanloft/membership/member.h"
+
+namespace banyanloft {
+
+/// Settings of membership.
+struct MembershipSettings {
+  int64_t probe_period_ms = 1000;   ///< One member is probed per period, in ms.
+  int64_t probe_timeout_ms = 300;   ///< Wait for a direct ack, in ms.
+  int indirect_probes = 3;          ///< Members asked to probe in one's stead.
+  int64_t suspicion_min_ms = 1500;  ///< Suspicion with many accusers, in ms.
+  int64_t suspicion_max_ms = 5000;  ///< Suspicion with one accuser, in ms.
+  int accusers_for_min = 3;      ///< Accusers at which suspicion is shortest.
+  int64_t news_period_ms = 200;  ///< Waiting news is sent this often, in ms.
+  int news_fanout = 2;           ///< Members that each round of news goes to.
+  size_t news_per_datagram = 8;  ///< Most member records in one datagram.
+  int64_t digest_period_ms = 10000;  ///< Tables are compared this often, in ms.
+  int64_t join_period_ms = 250;      ///< The same while joining, in ms.
+  size_t digest_reply_datagrams =
+      40;  ///< Most datagrams that answer one digest.
+  int64_t revisit_period_ms =
+      2000;  ///< An unreachable member is pinged this often, in ms.
+  int64_t unreachable_keep_ms =
+      7200000;  ///< Unreachable members are kept this long, in ms.
+  int64_t gone_keep_ms =
+      14400000;  ///< Members that left are remembered this long, in ms.
+  int64_t pause_ms =
+      1000;  ///< A gap between ticks that counts as own pause, in ms.
+  int max_awareness = 8;  ///< Highest local health factor.
+};
+
+/// Hears of changes in the table of members. Called on the machine's thread.
+class MembershipListener {
+ public:
+  virtual ~MembershipListener() = default;
+  /// A member appeared or its record changed.
+  virtual void OnMemberChanged(TimeMs now, const MemberRecord& member) = 0;
+};
+
+/// Who is in the fleet: SWIM with suspicion, a local health factor, and
+/// comparison of tables. Members announce themselves; unreachable ones are
+/// kept apart and revisited. Deterministic; not thread safe; free of I/O.
+class Membership {
+ public:
+  /// Number of buckets in a digest of the table.
+  static constexpr size_t kDigestBuckets = 64;
+
+  /// `self` describes this process; `listener` may be null.
+  Membership(const MembershipSettings& settings, MemberRecord self,
+             uint64_t seed, TimeMs now, MembershipListener* listener);
+
+  /// Addresses to join through, from settings or the platform.
+  void AddSeeds(const std::vector<std::string>& gossip_addresses);
+  /// Changes what this process says of itself.
+  void Announce(TimeMs now, MemberState state, const std::string& service,
+                int slots);
+  /// Handles a datagram; appends answers to `out`.
+  void OnDatagram(TimeMs now, const Datagram& datagram,
+                  std::vector<DatagramOut>* out);
+  /// A link to the member broke: it is probed at once.
+  void OnLinkLost(TimeMs now, const std::string& link_address);
+  /// Periodic duties; to be called every 50 ms or so.
+  void Tick(TimeMs now, std::vector<DatagramOut>* out);
+
+  const MemberRecord& Self() const { return self_; }
+  /// The member of an id, itself included; nullptr if unknown.
+  const MemberRecord* Find(MemberId id) const;
+  /// The usable member behind a link address; nullptr if there is none.
+  const MemberRecord* FindByLink(const std::string& link_address) const;
+  /// All members but itself.
+  const std::map<MemberId, MemberRecord>& Others() const { return others_; }
+  /// When a member was first seen in its present state.
+  TimeMs StateSince(MemberId id) const;
+  /// Members, itself included, that are neither gone nor unreachable.
+  size_t AliveCount() const { return alive_.size() + 1; }
+  /// Up to `count` distinct random members that are alive.
+  std::vector<const MemberRecord*> RandomAlive(
+      size_t count, const std::string& only_zone = "");
+  /// Ids of the first `count` live members of a zone in rendezvous order.
+  std::vector<MemberId> FirstOfZone(const std::string& zone,
+                                    size_t count) const;
+  /// Strikes to be spread with the next news.
+  void SpreadStrikes(const std::vector<CrashStrike>& strikes);
+  /// Local health factor: 0 is healthy.
+  int Awareness() const { return awareness_; }
+  const Counters& Counts() const { return counters_; }
+  /// Hash over the whole table, for tests of determinism.
+  uint64_t StateHash() const;
+
+ private:
+  struct Probe {
+    MemberId target = 0;
+    TimeMs sent;
+    bool indirect_sent = false;
+    bool acked = false;
+  };
+  struct Suspicion {
+    TimeMs since;
+    std::set<MemberId> accusers;
+  };
+  struct News {
+    MemberRecord record;
+    int sent = 0;
+  };
+  struct Relay {
+    std::string reply_to;
+    uint64_t sequence;
+    TimeMs since;
+  };
+
+  bool NoticeOwnPause(TimeMs now);
+  void Apply(TimeMs now, const MemberRecord& news, MemberId from);
+  void Store(TimeMs now, const MemberRecord& record);
+  void Refute(TimeMs now, const MemberRecord& claim);
+  void Succeed(TimeMs now, MemberRecord predecessor);
+  void QueueNews(const MemberRecord& record);
+  void Suspect(TimeMs now, MemberId target, MemberId accuser);
+  void CheckSuspicions(TimeMs now);
+  int64_t SuspicionMs(const Suspicion& suspicion) const;
+  void FinishProbe(TimeMs now);
+  void StartProbe(TimeMs now, std::vector<DatagramOut>* out);
+  void SendIndirect(TimeMs now, std::vector<DatagramOut>* out);
+  MemberId NextProbeTarget();
+  void SendNews(TimeMs now, std::vector<DatagramOut>* out);
+  void SendDigest(TimeMs now, std::vector<DatagramOut>* out);
+  void AnswerDigest(TimeMs now, const Datagram& datagram,
+                    std::vector<DatagramOut>* out);
+  void Revisit(std::vector<DatagramOut>* out);
+  void ForgetOld(TimeMs now);
+  Datagram Make(DatagramType type);
+  void AddNews(Datagram* datagram);
+  int NewsTransmissions() const;
+  void SetAwareness(int value);
+  std::vector<uint64_t> Digest() const;
+  static uint64_t RecordHash(const MemberRecord& record);
+  static size_t BucketOf(MemberId id) { return (id >> 7) % kDigestBuckets; }
+
+  MembershipSettings settings_;
+  MemberRecord self_;
+  Random random_;
+  MembershipListener* listener_;
+  std::map<MemberId, MemberRecord> others_;
+  std::unordered_map<MemberId, TimeMs> state_since_;
+  std::set<MemberId> alive_;
+  std::unordered_map<std::string, MemberId> by_link_;
+  std::unordered_map<MemberId, Suspicion> suspicions_;
+  std::vector<MemberId> probe_order_;
+  std::deque<MemberId> urgent_probes_;
+  std::optional<Probe> probe_;
+  uint64_t sequence_ = 0;
+  std::unordered_map<uint64_t, Relay> relays_;
+  std::map<MemberId, News> news_;
+  std::deque<std::pair<CrashStrike, int>> strike_news_;
+  std::vector<std::string> seeds_;
+  bool joined_ = false;
+  int awareness_ = 0;
+  TimeMs last_tick_;
+  TimeMs next_probe_;
+  TimeMs next_news_;
+  TimeMs next_digest_;
+  TimeMs next_revisit_;
+  TimeMs next_forget_;
+  Counters counters_;
+};
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/membership/rendezvous.cc
@@ -0,0 +1,93 @@
+#include "banyanloft/membership/rendezvous.h"
+
+#include <algorithm>
+
+#include "banyanloft/config/json.h"
+
+namespace banyanloft {
+namespace {
+
+bool Contains(const std::vector<std::string>& list, const std::string& item) {
+  return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+std::vector<std::string> AddressesOf(const std::string& value) {
+  std::vector<std::string> out;
+  Json json = ParseJson(value);
+  JsonReader fields(json);
+  const Json* list = fields.Find("gossip");
+  if (list == nullptr || !list->is_array()) return out;
+  for (const Json& item : *list) {
+    if (item.is_string()) out.push_back(item.get<std::string>());
+  }
+  return out;
+}
+
+}  // namespace
+
+Rendezvous::Rendezvous(const RendezvousSettings& settings, std::string zone,
+                       std::string own_address, uint64_t seed, TimeMs now)
+    : settings_(settings),
+      zone_(std::move(zone)),
+      own_address_(std::move(own_address)),
+      random_(seed) {
+  uint64_t window = static_cast<uint64_t>(settings_.start_window_ms) + 1;
+  next_read_ = now + static_cast<int64_t>(random_.Below(window));
+}
+
+bool Rendezvous::ReadDue(TimeMs now, bool lonely, bool watching) {
+  if (now < next_read_ || (!lonely && !watching)) return false;
+  int64_t period_ms =
+      lonely ? settings_.lonely_period_ms + settings_.start_window_ms
+             : settings_.refresh_period_ms;
+  uint64_t jitter = random_.Below(static_cast<uint64_t>(period_ms) / 2 + 1);
+  next_read_ = now + period_ms * 3 / 4 + static_cast<int64_t>(jitter);
+  return true;
+}
+
+std::vector<std::string> Rendezvous::OnRead(const std::vector<Entry>& entries) {
+  std::vector<std::string> all;
+  fresh_ = true;
+  revision_ = 0;
+  listed_.clear();
+  for (const Entry& entry : entries) {
+    std::vector<std::string> addresses = AddressesOf(entry.value);
+    all.insert(all.end(), addresses.begin(), addresses.end());
+    if (entry.zone != zone_) continue;
+    revision_ = entry.revision;
+    listed_ = std::move(addresses);
+  }
+  return all;
+}
+
+std::optional<Rendezvous::Write> Rendezvous::WriteDue(
+    bool watching, const std::vector<std::string>& live,
+    const std::vector<std::string>& dead) {
+  if (!fresh_ || !watching) return std::nullopt;
+  fresh_ = false;
+
+  // Addresses not known here may be another island's: they stay.
+  std::vector<std::string> next;
+  for (const std::string& address : listed_) {
+    if (!Contains(dead, address) || Contains(live, address))
+      next.push_back(address);
+  }
+  bool changed = next.size() != listed_.size();
+  if (!Contains(next, own_address_)) {
+    next.insert(next.begin(), own_address_);
+    changed = true;
+  }
+  for (const std::string& address : live) {
+    if (next.size() >= settings_.addresses) break;
+    if (Contains(next, address)) continue;
+    next.push_back(address);
+    changed = true;
+  }
+  if (next.size() > settings_.addresses) next.resize(settings_.addresses);
+  if (!changed) return std::nullopt;
+  return Write{Json{{"gossip", next}}.dump(), revision_};
+}
+
+void Rendezvous::OnFailure() { fresh_ = false; }
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/platform/http_platform.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+#include "banyanloft/http/http_client.h"
+#include "banyanloft/platform/platform.h"
+
+namespace banyanloft {
+
+/// The platform over HTTP, for operators' programs. Not thread safe.
+class HttpPlatform final : public Platform {
+ public:
+  /// `timeout_ms`: longest wait for one call besides a watch.
+  HttpPlatform(const Endpoint& server, int64_t timeout_ms);
+  PlatformReply Do(const PlatformCall& call) override;
+
+ private:
+  boost::asio::io_context io_;
+  HttpClient client_;
+  int64_t timeout_ms_;
+  uint64_t next_id_ = 1;
+};
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/platform/platform_message.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "banyanloft/core/error.h"
+
+namespace banyanloft {
+
+/// One object of the platform.
+struct PlatformObject {
+  std::string key;
+  uint64_t revision = 0;  ///< Grows with each write of the object; never 0.
+  std::string value;
+};
+
+/// One call of the platform's object API.
+struct PlatformCall {
+  enum class Type : uint8_t { kRead, kList, kWrite };
+  uint64_t id = 0;
+  Type type = Type::kRead;
+  std::string key;  ///< With kList: the prefix.
+  std::optional<uint64_t>
+      watch_after;      ///< With kRead: wait for a revision above this one.
+  int64_t wait_ms = 0;  ///< Longest wait of a watch, in ms.
+  std::string value;    ///< With kWrite.
+  std::optional<uint64_t>
+      expected_revision;  ///< With kWrite: 0 means the object must not exist.
+};
+
+/// The answer to a call.
+struct PlatformReply {
+  uint64_t id = 0;
+  std::optional<Error>
+      error;  ///< kConflict: the expected revision did not match.
+  std::vector<PlatformObject> objects;  ///< Empty if the object does not exist.
+  uint64_t revision = 0;                ///< With kWrite: the new revision.
+};
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/run_once/run_ledger.cc
@@ -0,0 +1,106 @@
+#include "banyanloft/run_once/run_ledger.h"
+
+#include <cassert>
+
+namespace banyanloft {
+namespace {
+
+RunOutcome Refusal(ErrorKind kind) {
+  RunOutcome outcome;
+  outcome.error = kind;
+  outcome.run_state = ErrorAnswerOf(kind).run_state;
+  return outcome;
+}
+
+}  // namespace
+
+RunLedger::RunLedger(const RunLedgerSettings& settings, MemberId home,
+                     std::string secret, uint64_t seed, TimeMs start)
+    : settings_(settings),
+      home_(home),
+      secret_(std::move(secret)),
+      next_nonce_(seed),
+      start_(start) {}
+
+std::string RunLedger::Issue(TimeMs now, const std::string& route) {
+  RunKey key{home_, EpochOf(now), next_nonce_++, route};
+  return KeyToText(key, secret_);
+}
+
+RunLedger::BeginResult RunLedger::Begin(TimeMs now, const RunKey& key,
+                                        uint64_t waiter) {
+  // A key of another process may have run there: this process can never say.
+  if (key.home != home_) return Refusal(ErrorKind::kHomeLost);
+  if (key.epoch < OldestGoodEpoch(now)) return Refusal(ErrorKind::kKeyExpired);
+  if (key.epoch > EpochOf(now)) return Refusal(ErrorKind::kKeyInvalid);
+
+  Epoch& epoch = epochs_[key.epoch];
+  auto it = epoch.find(key.nonce);
+  if (it != epoch.end()) {
+    if (it->second.closed) return it->second.outcome;
+    it->second.waiters.push_back(waiter);
+    return Joined{};
+  }
+
+  // Without room for the outcome the key must not run. The refusal itself
+  // cannot be remembered, so it may not claim that the key will never run.
+  if (size_ >= settings_.max_keys) {
+    return Refusal(ErrorKind::kOutcomesFull);
+  }
+  Entry& entry = epoch[key.nonce];
+  entry.waiters.push_back(waiter);
+  ++size_;
+  return MustRun{};
+}
+
+std::vector<uint64_t> RunLedger::Close(const RunKey& key,
+                                       const RunOutcome& outcome) {
+  auto epoch = epochs_.find(key.epoch);
+  if (epoch == epochs_.end()) return {};
+  auto it = epoch->second.find(key.nonce);
+  if (it == epoch->second.end()) return {};
+  assert(!it->second.closed);
+  it->second.closed = true;
+  it->second.outcome = Kept(outcome);
+  return std::move(it->second.waiters);
+}
+
+/// The outcome as remembered: without its body if that is too long to keep.
+RunOutcome RunLedger::Kept(RunOutcome outcome) {
+  bool fits = outcome.body.size() <= settings_.max_answer_bytes &&
+              answer_bytes_ + outcome.body.size() <= settings_.max_total_bytes;
+  if (fits) {
+    answer_bytes_ += outcome.body.size();
+    return outcome;
+  }
+  return Refusal(ErrorKind::kAnswerForgotten);
+}
+
+void RunLedger::Tick(TimeMs now) {
+  uint64_t oldest = OldestGoodEpoch(now);
+  for (auto epoch = epochs_.begin();
+       epoch != epochs_.end() && epoch->first < oldest;) {
+    // A key that still runs is kept until it is closed.
+    for (auto it = epoch->second.begin(); it != epoch->second.end();) {
+      if (!it->second.closed) {
+        ++it;
+        continue;
+      }
+      answer_bytes_ -= it->second.outcome.body.size();
+      --size_;
+      it = epoch->second.erase(it);
+    }
+    epoch = epoch->second.empty() ? epochs_.erase(epoch) : std::next(epoch);
+  }
+}
+
+uint64_t RunLedger::EpochOf(TimeMs now) const {
+  return static_cast<uint64_t>((now - start_) / settings_.epoch_ms);
+}
+
+uint64_t RunLedger::OldestGoodEpoch(TimeMs now) const {
+  uint64_t current = EpochOf(now);
+  return current < settings_.epochs_kept ? 0 : current - settings_.epochs_kept;
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/programs/banyanloftd.cc
@@ -0,0 +1,81 @@
+#include <fmt/format.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <thread>
+
+#include "banyanloft/core/log.h"
+#include "banyanloft/core/random.h"
+#include "banyanloft/daemon/daemon.h"
+#include "banyanloft/daemon/daemon_options.h"
+
+namespace {
+
+using banyanloft::Daemon;
+using banyanloft::DaemonAddresses;
+using banyanloft::LogLevel;
+
+constexpr int kExitUsage = 2;
+constexpr int kExitStart = 3;
+
+/// Tells a supervisor where the daemon listens: one `name ip:port` a line. The
+/// file appears whole, by renaming.
+void WriteAddresses(const std::string& path, const DaemonAddresses& addresses) {
+  std::string partial = path + ".partial";
+  std::ofstream file(partial);
+  file << "caller " << addresses.caller.Text() << "\nadmin "
+       << addresses.admin.Text() << "\nlink " << addresses.link.Text()
+       << "\ngossip " << addresses.gossip.Text() << "\n";
+  file.close();
+  std::rename(partial.c_str(), path.c_str());
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  banyanloft::DaemonOptions options;
+  banyanloft::OptionTable::Parsed parsed = options.Parse(argc, argv);
+  if (parsed.help) {
+    fmt::print("banyanloftd: the daemon beside one backend server\n\n{}",
+               options.Help());
+    return 0;
+  }
+  if (!parsed.errors.empty()) {
+    for (const std::string& error : parsed.errors)
+      fmt::print(stderr, "banyanloftd: {}\n", error);
+    return kExitUsage;
+  }
+
+  // Signals are taken by this thread alone.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+
+  Daemon daemon(options.Settings());
+  banyanloft::Result<DaemonAddresses> started = daemon.Start();
+  if (const banyanloft::Error* error = banyanloft::ErrorOf(started)) {
+    banyanloft::Log(LogLevel::kError, "start_failed",
+                    {{"detail", error->detail}});
+    return kExitStart;
+  }
+  if (!options.AddressFile().empty())
+    WriteAddresses(options.AddressFile(), *banyanloft::ValueOf(started));
+
+  std::thread signal_thread([&] {
+    int received = 0;
+    sigwait(&signals, &received);
+    daemon.BeginDrain();
+  });
+  daemon.WaitUntilDrained();
+  // Let the last messages leave before the threads end.
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  banyanloft::Log(LogLevel::kInfo, "daemon_stopped", {});
+  kill(getpid(), SIGTERM);
+  signal_thread.join();
+  return 0;
+}
