--- /dev/null
+++ b/standins/node_fleet.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "banyanloft/daemon/node.h"
+#include "banyanloft/platform/memory_platform.h"
+
+namespace banyanloft {
+
+/// Settings of a fleet of decision machines in one process.
+struct NodeFleetSettings {
+  int zones = 4;                  ///< Availability zones, filled in turn.
+  int64_t near_delay_ms = 1;      ///< One-way delay of any message, in ms.
+  int loss_permille = 0;          ///< Datagrams lost, in 1/1000.
+  int64_t platform_delay_ms = 3;  ///< Time for a platform call, in ms.
+  int64_t run_ms = 10;            ///< Run time of every piece of work, in ms.
+  int slots = 20;                 ///< Slots of each backend server.
+  int64_t tick_ms = 10;           ///< Period of the nodes' ticks, in ms.
+  uint64_t seed = 1;
+  NodeSettings node;  ///< Template; addresses, zone and seed are filled in.
+};
+
+/// Nodes joined by small fakes: messages with a delay, a platform in memory
+/// with outages, backend servers that only count. For tests and measurements
+/// of the decisions; no sockets, threads or clocks.
+class NodeFleet {
+ public:
+  /// What became of one call.
+  struct Ended {
+    CallAnswer answer;
+    TimeMs at;
+  };
+
+  explicit NodeFleet(const NodeFleetSettings& settings);
+
+  /// Starts an instance with a backend server of `service`; returns its index.
+  size_t Start(const std::string& service);
+  /// The process of an instance ends without a word; its backend server stays.
+  void Kill(size_t index);
+  /// A new process takes the place of a killed one.
+  void Restart(size_t index);
+  /// The process stops taking part until Thaw; messages wait for it.
+  void Freeze(size_t index);
+  void Thaw(size_t index);
+  /// The backend server dies with all it runs, and is back after `down_ms`.
+  void CrashBackend(size_t index, int64_t down_ms);
+  void Drain(size_t index);
+  /// Messages between the zones of `a` and the others are lost; empty: none.
+  void Cut(std::set<std::string> zones, bool from_platform);
+  void SetPlatformOut(bool out) { platform_out_ = out; }
+  void SetLoss(int permille) { settings_.loss_permille = permille; }
+
+  /// Lets time pass.
+  void Run(int64_t ms);
+  /// Lets time pass until `done`, at most `limit_ms`; true if it was done.
+  bool RunUntil(const std::function<bool()>& done, int64_t limit_ms);
+
+  /// A caller's call at a node; returns its number.
+  uint64_t Call(size_t index, CallRequest request);
+  /// Takes a key at a node; empty if there is none within a second.
+  std::string TakeKey(size_t index, const std::string& route);
+  /// Accepts a configuration in the platform; returns its version.
+  uint64_t Accept(const Configuration& configuration);
+
+  TimeMs Now() const { return now_; }
+  size_t Size() const { return nodes_.size(); }
+  bool Alive(size_t index) const {
+    return nodes_[index].node != nullptr && !nodes_[index].frozen;
+  }
+  const Node& At(size_t index) const { return *nodes_[index].node; }
+  Node& Mutable(size_t index) { return *nodes_[index].node; }
+  bool Exited(size_t index) const { return nodes_[index].exited; }
+  /// Ended calls by number.
+  const std::map<uint64_t, Ended>& EndedCalls() const { return ended_; }
+  /// Runs begun, by body of the work.
+  const std::map<std::string, int>& RunsByBody() const { return runs_by_body_; }
+  /// Runs begun on the backend server of an instance.
+  uint64_t RunsAt(size_t index) const { return nodes_[index].runs; }
+  MemoryPlatform& Store() { return platform_; }
+  /// Calls that reached the platform.
+  uint64_t PlatformCalls() const { return platform_calls_; }
+  uint64_t DatagramsSent() const { return datagrams_; }
+  /// Versions in force at any node ever fell.
+  bool SteppedBack() const { return stepped_back_; }
+  /// Lowest version in force over the live nodes.
+  uint64_t LowestVersion() const;
+  /// Called with each body that a backend server begins to run; true: it
+  /// crashes.
+  std::function<bool(const std::string& body)> crashes_on;
+  /// Called for each datagram sent.
+  std::function<void(size_t from, const Datagram&)> on_datagram;
+  /// Called for each message sent on a link.
+  std::function<void(size_t from, const PeerMessage&)> on_message;
+
+ private:
+  struct Instance {
+    std::unique_ptr<Node> node;
+    std::string service;
+    std::string zone;
+    std::string link;
+    std::string gossip;
+    bool frozen = false;
+    bool exited = false;
+    uint64_t generation = 0;
+    uint64_t boot = 1;
+    bool backend_up = true;
+    std::map<uint64_t, uint64_t> running;
+    uint64_t runs = 0;
+    uint64_t seen_version = 0;
+    std::vector<std::function<void()>> held;
+  };
+  struct Event {
+    TimeMs at;
+    uint64_t order;
+    std::function<void()> act;
+    bool operator>(const Event& other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+  struct Watch {
+    size_t index;
+    uint64_t generation;
+    PlatformCall call;
+  };
+
+  void At(int64_t delay_ms, std::function<void()> act);
+  /// Acts at a node's process if it is still the same, holding back while
+  /// frozen.
+  void AtNode(size_t index, uint64_t generation, std::function<void()> act);
+  void Launch(size_t index);
+  void Step(size_t index, const std::function<void(Node::Actions*)>& step);
+  void Carry(size_t index, NodeAction action);
+  void SendTo(size_t from, const std::string& link, PeerMessage message);
+  void DoPlatform(size_t index, const PlatformCall& call);
+  void ReplyPlatform(size_t index, uint64_t generation, PlatformReply reply);
+  void WakeWatches();
+  void RunWork(size_t index, const StartBackend& start);
+  void EndWork(size_t index, uint64_t work, BackendResult::Type type);
+  void Announce(size_t index);
+  void Tick(size_t index, uint64_t generation);
+  bool Connected(size_t a, size_t b) const;
+  int Find(const std::string& link) const;
+  void NoteVersion(size_t index);
+
+  NodeFleetSettings settings_;
+  Random random_;
+  TimeMs now_{1000};
+  uint64_t order_ = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::vector<Instance> nodes_;
+  std::map<std::string, size_t> by_address_;
+  std::set<std::string> cut_zones_;
+  bool cut_platform_ = false;
+  bool platform_out_ = false;
+  MemoryPlatform platform_;
+  std::vector<Watch> watches_;
+  uint64_t platform_calls_ = 0;
+  uint64_t datagrams_ = 0;
+  uint64_t next_call_ = 1;
+  std::map<uint64_t, Ended> ended_;
+  std::map<uint64_t, std::string> keys_;
+  std::map<std::string, int> runs_by_body_;
+  bool stepped_back_ = false;
+};
+
+/// A small configuration with ranks urgent, normal and batch; service `shop`
+/// with an idempotent route `read`, a keyed route `pay` and a route `post` that
+/// is neither; `mark` goes into it, so that configurations differ.
+Configuration SampleConfiguration(int mark = 0);
+
+}  // namespace banyanloft
--- /dev/null
+++ b/tests/gate_test.cc
@@ -0,0 +1,220 @@
+#include "banyanloft/admission/gate.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+
+using namespace banyanloft;
+
+/// A gate with 10 slots and the ranks urgent, normal and batch.
+TEST_GROUP(gate) {
+  std::vector<RankShare> shares_ = {{300, 200}, {300, 1000}, {100, 4000}};
+  GateSettings settings_;
+  std::unique_ptr<Gate> gate_;
+  std::vector<GateAction> actions_;
+  std::map<uint64_t, int64_t> running_until_;
+  std::map<uint64_t, int> rank_of_;
+  std::map<int, int> finished_by_rank_;
+  uint64_t next_id_ = 1;
+  int64_t run_ms_ = 20;
+  int64_t load_at_ = 0;
+
+  void setup() override {
+    settings_.slots = 10;
+    gate_ = std::make_unique<Gate>(settings_, shares_,
+                                   MakeFloorQueue(shares_, settings_.slots));
+  }
+
+  uint64_t Offer(int64_t now, int rank, const std::string& kind = "kind",
+                 int64_t patience_ms = 2000, bool solo = false) {
+    GateWork work;
+    work.id = next_id_++;
+    work.rank = rank;
+    work.kind = kind;
+    work.deadline = TimeMs(now + patience_ms);
+    work.solo = solo;
+    rank_of_[work.id] = rank;
+    uint64_t id = work.id;
+    gate_->Offer(TimeMs(now), std::move(work), &actions_);
+    return id;
+  }
+
+  /// Starts what the gate started; returns the refused.
+  std::map<uint64_t, ErrorKind> Take(int64_t now) {
+    std::map<uint64_t, ErrorKind> refused;
+    for (const GateAction& action : actions_) {
+      if (action.type == GateAction::Type::kStart) {
+        running_until_[action.id] = now + run_ms_;
+      } else {
+        refused[action.id] = action.error;
+      }
+    }
+    actions_.clear();
+    return refused;
+  }
+
+  void FinishDue(int64_t now) {
+    std::vector<uint64_t> due;
+    for (const auto& [id, until] : running_until_) {
+      if (until <= now) due.push_back(id);
+    }
+    for (uint64_t id : due) {
+      running_until_.erase(id);
+      ++finished_by_rank_[rank_of_[id]];
+      gate_->Finish(TimeMs(now), id, run_ms_, &actions_);
+      Take(now);
+    }
+  }
+
+  /// Offers `per_ms[rank]` work each ms for `length_ms`.
+  void Load(int64_t length_ms, const std::map<int, int>& per_ms) {
+    int64_t end = load_at_ + length_ms;
+    for (; load_at_ < end; ++load_at_) {
+      int64_t now = load_at_;
+      FinishDue(now);
+      gate_->Tick(TimeMs(now), &actions_);
+      Take(now);
+      for (const auto& [rank, count] : per_ms) {
+        for (int i = 0; i < count; ++i) Offer(now, rank);
+      }
+      Take(now);
+    }
+  }
+};
+
+TEST(gate, work_withFreeSlots_startsAtOnce) {
+  uint64_t id = Offer(0, 2);
+  CHECK_EQUAL(0U, Take(0).size());
+  CHECK_EQUAL(1U, running_until_.count(id));
+}
+
+TEST(gate, moreWorkThanSlots_neverRunsAboveTheSlots) {
+  for (int i = 0; i < 50; ++i) Offer(0, 1);
+  Take(0);
+  CHECK_EQUAL(10U, running_until_.size());
+  CHECK_EQUAL(10, gate_->Running());
+}
+
+TEST(gate, floodOfLeastUrgent_urgentIsServedInFull) {
+  // Capacity is 10 slots / 20 ms: one unit every 2 ms. Batch offers ten times
+  // that.
+  int urgent_offered = 0;
+  for (int64_t now = 0; now < 4000; ++now) {
+    FinishDue(now);
+    gate_->Tick(TimeMs(now), &actions_);
+    Take(now);
+    for (int i = 0; i < 5; ++i) Offer(now, 2);
+    if (now % 10 == 0) {
+      Offer(now, 0);
+      ++urgent_offered;
+    }
+    for (const auto& [id, error] : Take(now)) CHECK(rank_of_[id] != 0);
+  }
+  for (int64_t now = 4000; now < 4400; ++now) FinishDue(now);
+  CHECK_EQUAL(urgent_offered, finished_by_rank_[0]);
+}
+
+TEST(gate, floodOfMostUrgent_otherRanksKeepTheirFloors) {
+  Load(6000, {{0, 5}, {1, 5}, {2, 5}});
+  double total =
+      finished_by_rank_[0] + finished_by_rank_[1] + finished_by_rank_[2];
+  CHECK(finished_by_rank_[1] >= 0.3 * total * 0.97);
+  CHECK(finished_by_rank_[2] >= 0.1 * total * 0.97);
+  CHECK(finished_by_rank_[0] > finished_by_rank_[1]);
+}
+
+TEST(gate, floodOfMostUrgent_strictPriorityStarvesOthers) {
+  // The baseline shows that the floors above come from the mechanism.
+  gate_ = std::make_unique<Gate>(settings_, shares_, MakeStrictPriorityQueue());
+  Load(6000, {{0, 5}, {1, 5}, {2, 5}});
+  CHECK(finished_by_rank_[2] < finished_by_rank_[0] / 50);
+}
+
+TEST(gate, oneKindFloodsARank_otherKindKeepsItsShare) {
+  for (int64_t now = 0; now < 3000; ++now) {
+    FinishDue(now);
+    gate_->Tick(TimeMs(now), &actions_);
+    for (int i = 0; i < 5; ++i) Offer(now, 1, "dealers");
+    if (now % 8 == 0) rank_of_[Offer(now, 1, "foundry")] = 7;
+    Take(now);
+  }
+  // The foundry asks for a quarter of the capacity and must get nearly all of
+  // it.
+  CHECK(finished_by_rank_[7] >= 3000 / 8 * 95 / 100);
+}
+
+TEST(gate, deadlineThatCannotBeMet_isRefusedAtOnce) {
+  for (int i = 0; i < 60; ++i) Offer(0, 1);
+  Take(0);
+  uint64_t id = Offer(1, 1, "kind", 5);
+  std::map<uint64_t, ErrorKind> refused = Take(1);
+  CHECK_EQUAL(1U, refused.count(id));
+  CHECK(refused[id] == ErrorKind::kDeadlineUnmeetable);
+}
+
+TEST(gate, workThatWaits_neverWaitsBeyondItsBound) {
+  run_ms_ = 100000;
+  for (int i = 0; i < 10; ++i) Offer(0, 1, "kind", 1000000);
+  uint64_t waiting = Offer(0, 1, "kind", 1000000);
+  Take(0);
+  gate_->Tick(TimeMs(500), &actions_);
+  CHECK_EQUAL(0U, Take(500).size());
+  gate_->Tick(TimeMs(501), &actions_);
+  std::map<uint64_t, ErrorKind> refused = Take(501);
+  CHECK(refused[waiting] == ErrorKind::kOverloaded);
+}
+
+TEST(gate, soloWork_neverRunsBesideOtherSoloWork) {
+  uint64_t first = Offer(0, 1, "kind", 2000, true);
+  uint64_t second = Offer(0, 1, "kind", 2000, true);
+  uint64_t plain = Offer(0, 1);
+  Take(0);
+  CHECK_EQUAL(1U, running_until_.count(first));
+  CHECK_EQUAL(0U, running_until_.count(second));
+  CHECK_EQUAL(1U, running_until_.count(plain));
+  gate_->Finish(TimeMs(20), first, 20, &actions_);
+  Take(20);
+  CHECK_EQUAL(1U, running_until_.count(second));
+}
+
+TEST(gate, withdrawnWork_neverStarts) {
+  for (int i = 0; i < 10; ++i) Offer(0, 1);
+  uint64_t id = Offer(0, 1);
+  Take(0);
+  CHECK(gate_->Withdraw(id));
+  CHECK_FALSE(gate_->Withdraw(id));
+  FinishDue(20);
+  CHECK_EQUAL(0U, running_until_.count(id));
+}
+
+TEST(gate, refusals_lowerTheLevelOfTheirRankOnly) {
+  Load(2000, {{2, 5}});
+  CHECK(gate_->Levels()[2] < 500);
+  CHECK_EQUAL(1000, gate_->Levels()[0]);
+  Load(4000, {});
+  CHECK_EQUAL(1000, gate_->Levels()[2]);
+}
+
+TEST(gate, longRunsOfLeastUrgent_leaveASlotForUrgent) {
+  run_ms_ = 2000;
+  Offer(0, 0, "lookup", 5000);
+  Take(0);
+  FinishDue(2000);
+  for (int i = 0; i < 30; ++i) Offer(2001, 2, "report", 100000);
+  Take(2001);
+  uint64_t urgent = Offer(2002, 0, "lookup", 5000);
+  Take(2002);
+  CHECK_EQUAL(1U, running_until_.count(urgent));
+}
+
+TEST(gate, sameOffers_giveTheSameActions) {
+  Load(1000, {{0, 1}, {1, 2}, {2, 3}});
+  std::map<int, int> first = finished_by_rank_;
+  gate_ = std::make_unique<Gate>(settings_, shares_,
+                                 MakeFloorQueue(shares_, settings_.slots));
+  finished_by_rank_.clear();
+  running_until_.clear();
+  load_at_ = 0;
+  Load(1000, {{0, 1}, {1, 2}, {2, 3}});
+  CHECK(first == finished_by_rank_);
+}
--- /dev/null
+++ b/tests/retry_policy_test.cc
@@ -0,0 +1,78 @@
+#include "banyanloft/routing/retry_policy.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace banyanloft;
+
+TEST_GROUP(retry_policy) {
+  RetrySettings settings_;
+  RetryPolicy policy_{settings_};
+  FailedAttempt failed_;
+
+  void setup() override {
+    failed_.error = ErrorKind::kOverloaded;
+    failed_.run_state = RunState::kNotRun;
+    failed_.deadline = TimeMs(1000);
+  }
+  RetryVerdict Judge() { return policy_.Judge(TimeMs(0), "shop", failed_); }
+};
+
+TEST(retry_policy, notRun_isRetried) { CHECK(Judge() == RetryVerdict::kRetry); }
+
+TEST(retry_policy, unknownOnARouteThatIsNotIdempotent_isNotRetried) {
+  failed_.run_state = RunState::kUnknown;
+  failed_.error = ErrorKind::kTargetLost;
+  CHECK(Judge() == RetryVerdict::kNotSafe);
+  failed_.idempotent = true;
+  CHECK(Judge() == RetryVerdict::kRetry);
+}
+
+TEST(retry_policy, keyedCall_isNeverRetriedElsewhere) {
+  failed_.keyed = true;
+  CHECK(Judge() == RetryVerdict::kNotSafe);
+}
+
+TEST(retry_policy, layerBelowHasRetried_isNotRetriedAgain) {
+  failed_.retried_below = true;
+  CHECK(Judge() == RetryVerdict::kOtherLayer);
+}
+
+TEST(retry_policy, deadlineTooNear_isNotRetried) {
+  failed_.deadline = TimeMs(settings_.backoff_base_ms);
+  CHECK(Judge() == RetryVerdict::kNoTime);
+}
+
+TEST(retry_policy, errorThatWouldRepeat_isNotRetried) {
+  failed_.error = ErrorKind::kCrashSuspect;
+  CHECK(Judge() == RetryVerdict::kFinalKind);
+}
+
+TEST(retry_policy, allCallsFail_retriesStayWithinTheBudget) {
+  int retries = 0;
+  for (int call = 0; call < 10000; ++call) {
+    policy_.OnFirstAttempt("shop");
+    if (Judge() == RetryVerdict::kRetry) ++retries;
+  }
+  CHECK(retries <=
+        10000 * settings_.budget_permille / 1000 + settings_.budget_start);
+  CHECK(retries >=
+        10000 * settings_.budget_permille / 1000 - settings_.budget_cap);
+}
+
+TEST(retry_policy, budgets_areSeparatePerService) {
+  while (Judge() == RetryVerdict::kRetry) {
+  }
+  CHECK(Judge() == RetryVerdict::kNoBudget);
+  CHECK(policy_.Judge(TimeMs(0), "other", failed_) == RetryVerdict::kRetry);
+}
+
+TEST(retry_policy, pauses_areJitteredAndBounded) {
+  Random random(1);
+  int64_t longest = 0;
+  for (int i = 0; i < 1000; ++i) {
+    int64_t pause = policy_.BackoffMs(2 + i % 12, &random);
+    CHECK(pause >= 0 && pause <= settings_.backoff_cap_ms);
+    longest = std::max(longest, pause);
+  }
+  CHECK(longest > settings_.backoff_cap_ms / 2);
+}
