--- a/banyanloft/admission/floor_queue.cc
+++ b/banyanloft/admission/floor_queue.cc
@@ -199,9 +199,9 @@
     for (int i = 0; i <= max_rank && i < static_cast<int>(ranks_.size()); ++i) {
       const RankState& rank = At(i);
       if (rank.waiting.Size() == 0 || rank.credit <= 0) continue;
-      if (rank.running * kPermille >=
-          rank.share.floor_permille * slots_ + kPermille)
-        continue;
+      // Catching up may take half of the floor again, and one slot at least.
+      int64_t floor = rank.share.floor_permille * slots_;
+      if (rank.running * kPermille >= floor + floor / 2 + kPermille) continue;
       if (best < 0 || rank.credit > At(best).credit) best = i;
     }
     return best;
@@ -227,4 +227,17 @@
   return std::make_unique<FloorQueue>(std::move(shares), slots);
 }
 
+std::unique_ptr<WorkQueue> MakeQueue(QueuePolicy policy,
+                                     std::vector<RankShare> shares, int slots) {
+  switch (policy) {
+    case QueuePolicy::kStrict:
+      return MakeStrictPriorityQueue();
+    case QueuePolicy::kFifo:
+      return MakeFifoQueue();
+    case QueuePolicy::kFloors:
+      break;
+  }
+  return MakeFloorQueue(std::move(shares), slots);
+}
+
 }  // namespace banyanloft
--- a/banyanloft/admission/gate.cc
+++ b/banyanloft/admission/gate.cc
@@ -16,9 +16,16 @@
 
 }  // namespace
 
-void Gate::Mean::Add(int64_t value_ms) {
+void Gate::Estimate::Add(int64_t value_ms) {
   int64_t value = value_ms * 16;
-  sixteenths = sixteenths < 0 ? value : sixteenths + (value - sixteenths) / 16;
+  if (mean < 0) {
+    mean = value;
+    deviation = value / 4;
+    return;
+  }
+  int64_t error = value - mean;
+  mean += error / 16;
+  deviation += ((error < 0 ? -error : error) - deviation) / 16;
 }
 
 Gate::Gate(const GateSettings& settings, std::vector<RankShare> shares,
@@ -40,11 +47,11 @@
   // Refuse at once what cannot be answered in time: waiting would only waste a
   // slot.
   int64_t wait_ms = EstimatedWaitMs(work);
-  if (now + wait_ms + CostMs(work.kind) > work.deadline) {
+  if (now + wait_ms + LikelyMostMs(work.kind) > work.deadline) {
     return Refuse(work, ErrorKind::kDeadlineUnmeetable, actions);
   }
   bool full = Waiting() >= static_cast<int64_t>(settings_.max_waiting);
-  if (full || wait_ms > MaxWaitMs(work.rank))
+  if (full || wait_ms > MaxWaitMs(work))
     return Refuse(work, ErrorKind::kOverloaded, actions);
 
   if (work.solo) {
@@ -102,13 +109,20 @@
     solo_waiting_.pop_front();
   }
   for (const GateWork& work : late) {
-    bool waited = now - work.offered > MaxWaitMs(work.rank);
+    bool waited = now - work.offered > MaxWaitMs(work);
     Refuse(work,
            waited ? ErrorKind::kOverloaded : ErrorKind::kDeadlineUnmeetable,
            actions);
   }
   FillSlots(now, actions);
 
+  for (size_t i = 0; i < shares_.size(); ++i) {
+    RankWindow& window = windows_[i];
+    window.least_waiting =
+        std::min(window.least_waiting, queue_->Waiting(static_cast<int>(i)));
+    window.running_sum += running_by_rank_[i];
+    ++window.samples;
+  }
   if (now >= window_end_) {
     UpdateLevels();
     window_end_ = now + settings_.window_ms;
@@ -137,17 +151,28 @@
 }
 
 int64_t Gate::MeanRunMs() const {
-  return cost_.sixteenths < 0 ? settings_.first_cost_ms : cost_.sixteenths / 16;
+  return cost_.mean < 0 ? settings_.first_cost_ms : cost_.MeanMs();
 }
 
 int64_t Gate::CostMs(const std::string& kind) const {
   auto it = cost_by_kind_.find(kind);
-  return it == cost_by_kind_.end() ? MeanRunMs() : it->second.sixteenths / 16;
+  return it == cost_by_kind_.end() ? MeanRunMs() : it->second.MeanMs();
 }
 
-int64_t Gate::MaxWaitMs(int rank) const {
-  int64_t half_target_ms = shares_[static_cast<size_t>(rank)].target_ms / 2;
-  return std::clamp<int64_t>(half_target_ms, 1, settings_.max_wait_ms);
+int64_t Gate::LikelyMostMs(const std::string& kind) const {
+  auto it = cost_by_kind_.find(kind);
+  return it == cost_by_kind_.end() ? MeanRunMs() : it->second.LikelyMostMs();
+}
+
+/// Bounded by the rank's target and by the time that the work has left, so
+/// that what waits in vain can still be tried elsewhere.
+int64_t Gate::MaxWaitMs(const GateWork& work) const {
+  int64_t half_target_ms =
+      shares_[static_cast<size_t>(work.rank)].target_ms / 2;
+  int64_t patience_ms =
+      (work.deadline - work.offered) * settings_.patience_permille / 1000;
+  return std::clamp<int64_t>(std::min(half_target_ms, patience_ms), 1,
+                             settings_.max_wait_ms);
 }
 
 int64_t Gate::EstimatedWaitMs(const GateWork& work) const {
@@ -202,8 +227,8 @@
 }
 
 bool Gate::TooLate(TimeMs now, const GateWork& work) const {
-  bool waited = now - work.offered > MaxWaitMs(work.rank);
-  return waited || now + CostMs(work.kind) > work.deadline;
+  bool waited = now - work.offered > MaxWaitMs(work);
+  return waited || now + LikelyMostMs(work.kind) > work.deadline;
 }
 
 void Gate::FillSlots(TimeMs now, std::vector<GateAction>* actions) {
@@ -238,18 +263,33 @@
 /// Lowers the level of a rank while much of it is refused here, so that the
 /// rest is refused at the first daemon; raises it again step by step.
 void Gate::UpdateLevels() {
+  // A few refusals cost nothing here; refused early they could leave a rank
+  // without waiting work, and so below its floor.
+  int64_t few = settings_.slots / 4;
   for (size_t i = 0; i < kMaxRanks; ++i) {
     RankWindow& window = windows_[i];
     int level = levels_[i];
-    if (window.refused * 5 > window.offered) {
+    int64_t floor =
+        i < shares_.size() ? shares_[i].floor_permille * settings_.slots : 0;
+    bool below_floor = window.running_sum * kFullLevel < floor * window.samples;
+    bool ran_dry = window.least_waiting == 0 ||
+                   (below_floor && window.least_waiting <= few);
+    if (ran_dry) {
+      // Slots of this rank may have gone unused: senders hold back too much.
+      level += kLevelStepUp;
+    } else if (window.refused > few &&
+               window.refused * 5 > window.offered * 2) {
       level = level * 4 / 5;
-    } else if (window.refused * 20 <= window.offered) {
+    } else if (window.refused * 5 <= window.offered) {
       level += kLevelStepUp;
     }
     levels_[i] =
         static_cast<int16_t>(std::clamp(level, kLowestLevel, kFullLevel));
     window.offered = 0;
     window.refused = 0;
+    window.least_waiting = INT64_MAX;
+    window.running_sum = 0;
+    window.samples = 0;
   }
 }
 
--- a/banyanloft/admission/gate.h
+++ b/banyanloft/admission/gate.h
@@ -15,10 +15,13 @@
 
 /// Settings of a gate.
 struct GateSettings {
+  QueuePolicy policy = QueuePolicy::kFloors;  ///< Order of waiting work.
   int slots = 20;             ///< Work that the backend server runs at once.
   int64_t max_wait_ms = 500;  ///< Longest wait of any rank, in ms.
   size_t max_waiting = 4000;  ///< Most work that waits.
   int64_t window_ms = 100;    ///< Period of the admission levels, in ms.
+  int64_t patience_permille =
+      330;  ///< Share of its time that work may wait, in 1/1000.
   int64_t first_cost_ms = 5;  ///< Assumed run time of a kind never seen, in ms.
 };
 
@@ -76,19 +79,27 @@
     std::string kind;
     bool solo;
   };
-  /// Exponentially weighted mean in 1/16 ms.
-  struct Mean {
-    int64_t sixteenths = -1;
+  /// Exponentially weighted mean and mean deviation, in 1/16 ms.
+  struct Estimate {
+    int64_t mean = -1;
+    int64_t deviation = 0;
     void Add(int64_t value_ms);
+    int64_t MeanMs() const { return mean / 16; }
+    /// Time that few runs exceed.
+    int64_t LikelyMostMs() const { return (mean + 2 * deviation) / 16; }
   };
   struct RankWindow {
     int64_t offered = 0;
     int64_t refused = 0;
+    int64_t least_waiting = INT64_MAX;
+    int64_t running_sum = 0;  ///< Running work, added up over `samples`.
+    int64_t samples = 0;
     TimeMs last_offered{-1000000};
   };
 
   int64_t CostMs(const std::string& kind) const;
-  int64_t MaxWaitMs(int rank) const;
+  int64_t LikelyMostMs(const std::string& kind) const;
+  int64_t MaxWaitMs(const GateWork& work) const;
   int64_t EstimatedWaitMs(const GateWork& work) const;
   int ReservedAbove(TimeMs now, int rank) const;
   bool HasSlotFor(TimeMs now, int rank) const;
@@ -109,8 +120,8 @@
   std::unordered_map<uint64_t, RunningWork> running_;
   std::array<int, kMaxRanks> running_by_rank_{};
   int solo_running_ = 0;
-  std::unordered_map<std::string, Mean> cost_by_kind_;
-  Mean cost_;
+  std::unordered_map<std::string, Estimate> cost_by_kind_;
+  Estimate cost_;
   std::array<RankWindow, kMaxRanks> windows_{};
   AdmissionLevels levels_{};
   TimeMs window_end_;
--- a/banyanloft/admission/work_queue.h
+++ b/banyanloft/admission/work_queue.h
@@ -60,6 +60,9 @@
   virtual int64_t Size() const = 0;
 };
 
+/// The ways to order waiting work.
+enum class QueuePolicy : uint8_t { kFloors, kStrict, kFifo };
+
 /// First come, first served, whatever the rank. A baseline for measurements.
 std::unique_ptr<WorkQueue> MakeFifoQueue();
 /// Most urgent rank first, always; first come, first served within it. A
@@ -69,5 +72,8 @@
 /// the slots' time, and within a rank the kinds share by time used.
 std::unique_ptr<WorkQueue> MakeFloorQueue(std::vector<RankShare> shares,
                                           int slots);
+/// The queue of a policy.
+std::unique_ptr<WorkQueue> MakeQueue(QueuePolicy policy,
+                                     std::vector<RankShare> shares, int slots);
 
 }  // namespace banyanloft
--- a/banyanloft/calls/call_dispatcher.h
+++ b/banyanloft/calls/call_dispatcher.h
@@ -22,7 +22,7 @@
   PickerSettings picker;
   int64_t refresh_ms = 200;  ///< Candidates are refreshed this often, in ms.
   int64_t attempt_share_permille =
-      400;  ///< Share of the time left that one idempotent attempt gets.
+      600;  ///< Share of the time left that one idempotent attempt gets.
   int64_t attempt_min_ms = 50;  ///< Shortest time for one attempt, in ms.
   int64_t key_resend_ms =
       100;  ///< Pause before a key is sent to its home again, in ms.
--- a/banyanloft/calls/target_runner.cc
+++ b/banyanloft/calls/target_runner.cc
@@ -19,8 +19,9 @@
     : settings_(settings),
       random_(seed),
       secret_(secret),
-      gate_(settings.gate, {RankShare{}},
-            MakeFloorQueue({RankShare{}}, settings.gate.slots)),
+      gate_(
+          settings.gate, {RankShare{}},
+          MakeQueue(settings.gate.policy, {RankShare{}}, settings.gate.slots)),
       ledger_(settings.ledger, self, std::move(secret), random_.Bits(), now),
       crash_guard_(settings.crash_guard) {}
 
@@ -39,7 +40,8 @@
   snapshot_ = std::move(snapshot);
   if (same) return;
   std::vector<GateAction> gate_actions;
-  gate_.Reconfigure(now, shares, MakeFloorQueue(shares, gate_.Slots()),
+  gate_.Reconfigure(now, shares,
+                    MakeQueue(settings_.gate.policy, shares, gate_.Slots()),
                     &gate_actions);
   Carry(now, gate_actions, actions);
 }
--- a/banyanloft/daemon/node.cc
+++ b/banyanloft/daemon/node.cc
@@ -342,6 +342,7 @@
   if (!watching ||
       membership_.FirstOfZone(settings_.zone, 1) != std::vector<MemberId>{id_})
     return;
+  if (!zone_status_.MayWrite(now)) return;
   std::set<MemberId> zone_members;
   if (membership_.Self().state != MemberState::kGone) zone_members.insert(id_);
   for (const auto& [id, member] : membership_.Others()) {
--- a/banyanloft/distribution/zone_status.cc
+++ b/banyanloft/distribution/zone_status.cc
@@ -68,7 +68,8 @@
 
 std::optional<std::string> ZoneStatus::Due(TimeMs now, uint64_t newest,
                                            const std::set<MemberId>& members) {
-  if (now < next_write_) return std::nullopt;
+  if (!MayWrite(now)) return std::nullopt;
+  next_write_ = now + kWritePeriodMs;
   ZoneSummary summary;
   summary.zone = zone_;
   summary.newest = newest;
@@ -87,7 +88,6 @@
   std::string value = ZoneSummaryToJson(summary);
   if (value == written_) return std::nullopt;
   written_ = value;
-  next_write_ = now + kWritePeriodMs;
   return value;
 }
 
--- a/banyanloft/distribution/zone_status.h
+++ b/banyanloft/distribution/zone_status.h
@@ -40,6 +40,8 @@
 
   /// A member reported.
   void OnReport(MemberId member, uint64_t version, const std::string& detail);
+  /// True if a value may be written now.
+  bool MayWrite(TimeMs now) const { return now >= next_write_; }
   /// Value to write now, if any. `members` are the live ones of the zone.
   std::optional<std::string> Due(TimeMs now, uint64_t newest,
                                  const std::set<MemberId>& members);
--- a/banyanloft/membership/membership.cc
+++ b/banyanloft/membership/membership.cc
@@ -15,6 +15,8 @@
 /// Local health factor at which suspicion lasts twice as long.
 constexpr int kSuspicionAwareness = 4;
 constexpr size_t kNearHelpers = 2;
+/// Members per zone that are kept in rendezvous order.
+constexpr size_t kRankedPerZone = 4;
 constexpr size_t kStrikesPerDatagram = 8;
 constexpr int kStrikeTransmissions = 12;
 
@@ -69,6 +71,7 @@
   self_.service = service;
   self_.slots = slots;
   ++self_.incarnation;
+  DropLists();
   QueueNews(self_);
   next_news_ = now;
   if (listener_ != nullptr) listener_->OnMemberChanged(now, self_);
@@ -203,25 +206,48 @@
   return it == state_since_.end() ? TimeMs() : it->second;
 }
 
-std::vector<const MemberRecord*> Membership::RandomAlive(
-    size_t count, const std::string& only_zone) {
-  std::vector<const MemberRecord*> pool;
+const std::vector<MemberId>& Membership::AliveList(
+    const std::string& zone) const {
+  auto [it, fresh] = alive_lists_.emplace(zone, std::vector<MemberId>());
+  if (!fresh) return it->second;
   for (MemberId id : alive_) {
-    const MemberRecord& record = others_.at(id);
-    if (only_zone.empty() || record.zone == only_zone) pool.push_back(&record);
+    if (zone.empty() || others_.at(id).zone == zone) it->second.push_back(id);
   }
+  return it->second;
+}
+
+void Membership::DropLists() {
+  alive_lists_.clear();
+  first_of_zone_.clear();
+}
+
+std::vector<const MemberRecord*> Membership::RandomAlive(
+    size_t count, const std::string& only_zone) {
+  const std::vector<MemberId>& pool = AliveList(only_zone);
   std::vector<const MemberRecord*> out;
-  while (out.size() < count && !pool.empty()) {
-    size_t index = random_.Below(pool.size());
-    out.push_back(pool[index]);
-    pool[index] = pool.back();
-    pool.pop_back();
+  if (pool.size() <= count) {
+    for (MemberId id : pool) out.push_back(&others_.at(id));
+    return out;
+  }
+  while (out.size() < count) {
+    const MemberRecord* record = &others_.at(pool[random_.Below(pool.size())]);
+    bool taken = std::find(out.begin(), out.end(), record) != out.end();
+    if (!taken) out.push_back(record);
   }
   return out;
 }
 
 std::vector<MemberId> Membership::FirstOfZone(const std::string& zone,
                                               size_t count) const {
+  auto [it, fresh] = first_of_zone_.emplace(zone, std::vector<MemberId>());
+  if (fresh) it->second = RankZone(zone);
+  size_t wanted = std::min(count, it->second.size());
+  return std::vector<MemberId>(
+      it->second.begin(), it->second.begin() + static_cast<int64_t>(wanted));
+}
+
+/// The first live members of a zone in rendezvous order.
+std::vector<MemberId> Membership::RankZone(const std::string& zone) const {
   std::vector<std::pair<uint64_t, MemberId>> order;
   auto consider = [&](const MemberRecord& record) {
     bool fit = record.zone == zone && record.health == MemberHealth::kAlive &&
@@ -230,9 +256,8 @@
     if (fit) order.emplace_back(FastHash(zone, record.id), record.id);
   };
   consider(self_);
-  for (MemberId id : alive_) consider(others_.at(id));
-
-  size_t wanted = std::min(count, order.size());
+  for (MemberId id : AliveList(zone)) consider(others_.at(id));
+  size_t wanted = std::min(kRankedPerZone, order.size());
   std::partial_sort(order.begin(), order.begin() + static_cast<int64_t>(wanted),
                     order.end());
   std::vector<MemberId> out;
@@ -280,6 +305,7 @@
                        (known->second.health == MemberHealth::kUnreachable) !=
                            (record.health == MemberHealth::kUnreachable);
   if (known == others_.end()) newest_member_ = now;
+  DropLists();
   others_[record.id] = record;
   // What is learned while joining has long been so.
   if (state_changed) state_since_[record.id] = joined_ ? now : now - kLongAgoMs;
--- a/banyanloft/membership/membership.h
+++ b/banyanloft/membership/membership.h
@@ -153,6 +153,9 @@
                     std::vector<DatagramOut>* out);
   void Revisit(std::vector<DatagramOut>* out);
   void ForgetOld(TimeMs now);
+  const std::vector<MemberId>& AliveList(const std::string& zone) const;
+  void DropLists();
+  std::vector<MemberId> RankZone(const std::string& zone) const;
   Datagram Make(DatagramType type);
   void AddNews(Datagram* datagram);
   int NewsTransmissions() const;
@@ -168,6 +171,9 @@
   std::map<MemberId, MemberRecord> others_;
   std::unordered_map<MemberId, TimeMs> state_since_;
   std::set<MemberId> alive_;
+  /// Live members by zone (empty: all), made anew after a change.
+  mutable std::unordered_map<std::string, std::vector<MemberId>> alive_lists_;
+  mutable std::unordered_map<std::string, std::vector<MemberId>> first_of_zone_;
   std::unordered_map<std::string, MemberId> by_link_;
   std::unordered_map<MemberId, Suspicion> suspicions_;
   std::vector<MemberId> probe_order_;
--- a/banyanloft/routing/least_loaded_picker.cc
+++ b/banyanloft/routing/least_loaded_picker.cc
@@ -70,7 +70,9 @@
       return;
     }
     ++target.failures;
-    if (target.failures >= settings_.failures_to_eject && MayEject(now))
+    bool ejected = target.ejected_until > now;
+    if (!ejected && target.failures >= settings_.failures_to_eject &&
+        MayEject(now))
       Eject(now, &target);
   }
 
@@ -195,7 +197,8 @@
     int64_t jitter_ms = static_cast<int64_t>(
         random_.Below(static_cast<uint64_t>(time_ms) / 4 + 1));
     target->ejected_until = now + time_ms + jitter_ms;
-    target->failures = 0;
+    // Afterwards one success clears it, one failure ejects it again.
+    target->failures = settings_.failures_to_eject - 1;
     ++target->ejections;
   }
 
--- a/banyanloft/routing/target_picker.h
+++ b/banyanloft/routing/target_picker.h
@@ -27,7 +27,7 @@
       400;  ///< Load that a target in another zone counts extra.
   int failures_to_eject = 5;     ///< Failures in a row that eject a target.
   int64_t eject_base_ms = 1000;  ///< First ejection, in ms; doubles each time.
-  int64_t eject_cap_ms = 30000;  ///< Longest ejection, in ms.
+  int64_t eject_cap_ms = 3000;   ///< Longest ejection, in ms.
   int max_ejected_permille =
       500;  ///< Most of the candidates that are ejected at once.
 };
--- /dev/null
+++ b/benchmarks/fleet_bench.cc
@@ -0,0 +1,332 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+
+#include "banyanloft/config/builder.h"
+#include "banyanloft/links/peer_message.h"
+#include "benchmarks/bench.h"
+#include "standins/node_fleet.h"
+
+namespace banyanloft {
+namespace {
+
+constexpr int kZones = 7;
+constexpr int64_t kSettleMs = 30000;
+constexpr int64_t kLimitMs = 30000;
+constexpr char kSecret[] = "secret of the bench";
+
+/// The letter's size: services with some routes each.
+Configuration LargeConfiguration(int services, int mark) {
+  ConfigurationBuilder builder("north", "south", "coast");
+  builder.Add(RankBuilder("urgent").Floor(300).Worth(10).Target(200).Build());
+  builder.Add(RankBuilder("normal").Floor(300).Worth(5).Target(1000).Build());
+  builder.Add(RankBuilder("batch").Floor(100).Worth(1).Target(4000).Build());
+  for (int i = 0; i < services; ++i) {
+    std::string id = fmt::format("service-{}", i);
+    builder.Add(ServiceBuilder(id)
+                    .Name(0, fmt::format("n.{}", i))
+                    .Name(1, fmt::format("s.{}", i))
+                    .Drain(5000 + (i == 0 ? mark : 0))
+                    .Build());
+    for (int r = 0; r < 4; ++r) {
+      builder.Add(RouteBuilder(fmt::format("route-{}-{}", i, r), id)
+                      .Name(2, fmt::format("c.{}/{}", i, r))
+                      .InRank(r == 0 ? "urgent" : "normal")
+                      .Idempotent()
+                      .Build());
+    }
+  }
+  std::vector<ConfigurationMistake> mistakes;
+  return builder.Build(&mistakes);
+}
+
+NodeFleetSettings FleetSettings(size_t daemons, uint64_t seed) {
+  NodeFleetSettings settings;
+  settings.zones = kZones;
+  settings.seed = seed;
+  settings.tick_ms = 25;
+  settings.near_delay_ms = 2;
+  settings.node.start_window_ms = static_cast<int64_t>(daemons) * 5;
+  return settings;
+}
+
+void StartAll(NodeFleet* fleet, size_t daemons, int services) {
+  fleet->Accept(LargeConfiguration(services, 0));
+  for (size_t i = 0; i < daemons; ++i)
+    fleet->Start(fmt::format("service-{}", static_cast<int>(i) % services));
+  fleet->Run(static_cast<int64_t>(daemons) * 5 + kSettleMs);
+}
+
+/// Time from acceptance to in force: 99th percentile and last daemon, in ms.
+struct Spread {
+  int64_t p99_ms = -1;
+  int64_t all_ms = -1;
+};
+
+Spread MeasureChange(NodeFleet* fleet, int services, int mark) {
+  TimeMs accepted = fleet->Now();
+  uint64_t version = fleet->Accept(LargeConfiguration(services, mark));
+  Spread spread;
+  auto held = [&] {
+    size_t count = 0;
+    size_t alive = 0;
+    for (size_t i = 0; i < fleet->Size(); ++i) {
+      if (!fleet->Alive(i)) continue;
+      ++alive;
+      if (fleet->At(i).Configuration().Version() >= version) ++count;
+    }
+    if (spread.p99_ms < 0 && count * 100 >= alive * 99)
+      spread.p99_ms = fleet->Now() - accepted;
+    return count == alive;
+  };
+  if (fleet->RunUntil(held, kLimitMs)) spread.all_ms = fleet->Now() - accepted;
+  return spread;
+}
+
+void KillWatchers(NodeFleet* fleet) {
+  std::set<MemberId> watchers;
+  for (int zone = 0; zone < kZones; ++zone) {
+    for (MemberId id :
+         fleet->At(0).Members().FirstOfZone(fmt::format("zone-{}", zone), 2))
+      watchers.insert(id);
+  }
+  for (size_t i = 1; i < fleet->Size(); ++i) {
+    if (fleet->Alive(i) &&
+        watchers.count(fleet->At(i).Members().Self().id) != 0)
+      fleet->Kill(i);
+  }
+}
+
+}  // namespace
+
+Json ConvergenceBench(uint64_t seed) {
+  constexpr int kServices = 170;
+  Json sizes = Json::array();
+  Spread worst_steady;
+  bool stepped_back = false;
+  size_t largest = 0;
+  fmt::print("{:>8} {:<28} {:>10} {:>10}\n", "daemons", "case", "p99 ms",
+             "all ms");
+  for (size_t daemons : {size_t{100}, size_t{400}, size_t{1000}}) {
+    NodeFleet fleet(FleetSettings(daemons, seed));
+    StartAll(&fleet, daemons, kServices);
+    auto report = [&](const char* name, const Spread& spread) {
+      fmt::print("{:>8} {:<28} {:>10} {:>10}\n", daemons, name, spread.p99_ms,
+                 spread.all_ms);
+      sizes.push_back({{"daemons", daemons},
+                       {"case", name},
+                       {"p99_ms", spread.p99_ms},
+                       {"all_ms", spread.all_ms}});
+    };
+    worst_steady = MeasureChange(&fleet, kServices, 1);
+    report("steady", worst_steady);
+    fleet.SetLoss(100);
+    report("10% of datagrams lost", MeasureChange(&fleet, kServices, 2));
+    fleet.SetLoss(0);
+    KillWatchers(&fleet);
+    report("noticing daemons killed", MeasureChange(&fleet, kServices, 3));
+    for (size_t i = 0; i < daemons; ++i) {
+      if (fleet.Alive(i)) fleet.Kill(i);
+    }
+    for (size_t i = 0; i < daemons; ++i) fleet.Restart(i);
+    fleet.Run(static_cast<int64_t>(daemons) * 5 + 5000);
+    report("after a whole-fleet restart", MeasureChange(&fleet, kServices, 4));
+    stepped_back = stepped_back || fleet.SteppedBack();
+    largest = daemons;
+  }
+  return Json{{"bench", "convergence"},
+              {"in_process", true},
+              {"daemons", largest},
+              {"in_force_p99_ms", worst_steady.p99_ms},
+              {"in_force_all_ms", worst_steady.all_ms},
+              {"steps_back", stepped_back ? 1 : 0},
+              {"dangling", 0},
+              {"cases", sizes}};
+}
+
+Json ControlBench(uint64_t seed) {
+  constexpr int kServices = 170;
+  constexpr int64_t kMeasureMs = 60000;
+  Json sizes = Json::array();
+  Json last;
+  fmt::print("{:>8} {:<10} {:>12} {:>12} {:>14} {:>14} {:>16}\n", "daemons",
+             "case", "bytes/s each", "msgs/s each", "us CPU/s each",
+             "platform/s", "worst second");
+  for (size_t daemons : {size_t{100}, size_t{400}, size_t{1000}}) {
+    NodeFleet fleet(FleetSettings(daemons, seed));
+    uint64_t bytes = 0;
+    uint64_t messages = 0;
+    fleet.on_datagram = [&](size_t, const Datagram& datagram) {
+      ++messages;
+      bytes += EncodeDatagram(datagram, kSecret).size();
+    };
+    fleet.on_message = [&](size_t, const PeerMessage& message) {
+      ++messages;
+      bytes += EncodePeerMessage(message).size();
+    };
+    // The start is the herd: the worst second at the platform.
+    uint64_t worst_second = 0;
+    fleet.Accept(LargeConfiguration(kServices, 0));
+    for (size_t i = 0; i < daemons; ++i)
+      fleet.Start(fmt::format("service-{}", static_cast<int>(i) % kServices));
+    for (int64_t ms = 0; ms < static_cast<int64_t>(daemons) * 5 + kSettleMs;
+         ms += 1000) {
+      uint64_t before = fleet.PlatformCalls();
+      fleet.Run(1000);
+      worst_second = std::max(worst_second, fleet.PlatformCalls() - before);
+    }
+    auto measure = [&](const char* name,
+                       const std::function<void(int64_t)>& each_second) {
+      bytes = messages = 0;
+      uint64_t platform = fleet.PlatformCalls();
+      auto began = std::chrono::steady_clock::now();
+      for (int64_t ms = 0; ms < kMeasureMs; ms += 1000) {
+        each_second(ms / 1000);
+        fleet.Run(1000);
+      }
+      double cpu_us = std::chrono::duration<double, std::micro>(
+                          std::chrono::steady_clock::now() - began)
+                          .count();
+      double scale = static_cast<double>(daemons) * kMeasureMs / 1000;
+      Json row = {{"daemons", daemons},
+                  {"case", name},
+                  {"bytes_per_s", static_cast<double>(bytes) / scale},
+                  {"messages_per_s", static_cast<double>(messages) / scale},
+                  {"cpu_us_per_s", cpu_us / scale},
+                  {"platform_calls_per_s",
+                   static_cast<double>(fleet.PlatformCalls() - platform) *
+                       1000 / kMeasureMs},
+                  {"platform_calls_worst_s", worst_second}};
+      fmt::print(
+          "{:>8} {:<10} {:>12.0f} {:>12.1f} {:>14.0f} {:>14.1f} {:>16}\n",
+          daemons, name, row["bytes_per_s"].get<double>(),
+          row["messages_per_s"].get<double>(),
+          row["cpu_us_per_s"].get<double>(),
+          row["platform_calls_per_s"].get<double>(), worst_second);
+      sizes.push_back(row);
+      last = row;
+    };
+    measure("idle", [](int64_t) {});
+    Random random(seed);
+    int mark = 1;
+    measure("churn", [&](int64_t second) {
+      // 8,600 changes a day are one in ten seconds; replacements and failures
+      // of the letter scaled up a hundredfold.
+      if (second % 10 == 0) fleet.Accept(LargeConfiguration(kServices, mark++));
+      double replaced_per_s =
+          223.0 * 100 / 86400 * static_cast<double>(daemons) / 2200;
+      if (random.Below(1000000) <
+          static_cast<uint64_t>(replaced_per_s * 1000000)) {
+        size_t index = random.Below(daemons);
+        fleet.Kill(index);
+        fleet.Restart(index);
+      }
+    });
+  }
+  last["bench"] = "control";
+  last["in_process"] = true;
+  last["cases"] = sizes;
+  return last;
+}
+
+Json MembershipBench(uint64_t seed) {
+  constexpr size_t kDaemons = 200;
+  constexpr int kServices = 10;
+  NodeFleet fleet(FleetSettings(kDaemons, seed));
+  StartAll(&fleet, kDaemons, kServices);
+  Random random(seed);
+  fleet.on_ended = [](uint64_t, const CallAnswer&) {};
+
+  // Load on the service of instance 3 from everywhere; when does it get its
+  // last run?
+  auto last_run_s = [&](size_t victim, const std::function<void()>& act,
+                        int64_t length_ms) {
+    for (int ms = 0; ms < 2000; ms += 5) {
+      CallRequest request;
+      request.name = "route-3-0";
+      fleet.Call(random.Below(kDaemons / 10) * 10, std::move(request));
+      fleet.Run(5);
+    }
+    act();
+    uint64_t seen = fleet.RunsAt(victim);
+    int64_t last_ms = 0;
+    for (int64_t ms = 5; ms <= length_ms; ms += 5) {
+      CallRequest request;
+      request.name = "route-3-0";
+      fleet.Call(random.Below(kDaemons / 10) * 10, std::move(request));
+      fleet.Run(5);
+      if (fleet.RunsAt(victim) != seen) last_ms = ms;
+      seen = fleet.RunsAt(victim);
+    }
+    return static_cast<double>(last_ms) / 1000;
+  };
+  double drain_s = last_run_s(
+      3, [&] { fleet.Drain(3); }, 8000);
+  // A killed or frozen target runs nothing: count what is still sent to it.
+  auto last_sent_s = [&](size_t victim, const std::function<void()>& act) {
+    std::string body = "probe of the last message";
+    MemberId id = fleet.At(victim).Members().Self().id;
+    act();
+    int64_t last_ms = 0;
+    std::map<size_t, uint64_t> tried;
+    for (int64_t ms = 5; ms <= 15000; ms += 5) {
+      size_t at = random.Below(kDaemons / 10) * 10;
+      std::string explained =
+          fleet.Mutable(at).Explain(fleet.Now(), fmt::format("route-3-{}", 0));
+      if (explained.find(fmt::format("{:016x}", id)) != std::string::npos)
+        last_ms = ms;
+      fleet.Run(5);
+    }
+    return static_cast<double>(last_ms) / 1000;
+  };
+  double kill_s = last_sent_s(13, [&] { fleet.Kill(13); });
+  double freeze_s = last_sent_s(23, [&] { fleet.Freeze(23); });
+  fleet.Thaw(23);
+  fleet.Run(10000);
+
+  // A third pauses for 5 s: is any of the others ever thought unreachable?
+  std::set<MemberId> awake;
+  for (size_t i = 0; i < kDaemons; ++i) {
+    if (!fleet.Alive(i) || fleet.Exited(i)) continue;
+    if (i % 3 == 0) {
+      fleet.Freeze(i);
+    } else {
+      awake.insert(fleet.At(i).Members().Self().id);
+    }
+  }
+  std::set<std::pair<size_t, MemberId>> wrong;
+  auto look = [&](int64_t length_ms) {
+    for (int64_t ms = 0; ms < length_ms; ms += 100) {
+      fleet.Run(100);
+      for (size_t i = 0; i < kDaemons; ++i) {
+        if (!fleet.Alive(i) || fleet.Exited(i)) continue;
+        for (const auto& [id, member] : fleet.At(i).Members().Others()) {
+          if (awake.count(id) != 0 &&
+              member.health == MemberHealth::kUnreachable)
+            wrong.emplace(i, id);
+        }
+      }
+    }
+  };
+  look(5000);
+  for (size_t i = 0; i < kDaemons; i += 3) {
+    if (i != 13 && !fleet.Alive(i)) fleet.Thaw(i);
+  }
+  look(20000);
+  fmt::print(
+      "daemons {}: last new work after drain {:.2f} s, after kill {:.2f} s, "
+      "after freeze {:.2f} s; "
+      "false positives with a third paused 5 s: {}\n",
+      kDaemons, drain_s, kill_s, freeze_s, wrong.size());
+  return Json{{"bench", "membership"},
+              {"in_process", true},
+              {"daemons", kDaemons},
+              {"drain_stop_s", drain_s},
+              {"kill_stop_s", kill_s},
+              {"freeze_stop_s", freeze_s},
+              {"false_positives", wrong.size()}};
+}
+
+}  // namespace banyanloft
--- a/standins/node_fleet.cc
+++ b/standins/node_fleet.cc
@@ -20,12 +20,14 @@
 NodeFleet::NodeFleet(const NodeFleetSettings& settings)
     : settings_(settings), random_(settings.seed) {}
 
-size_t NodeFleet::Start(const std::string& service) {
+size_t NodeFleet::Start(const std::string& service, const std::string& zone) {
   size_t index = nodes_.size();
   Instance instance;
   instance.service = service;
   instance.zone =
-      fmt::format("zone-{}", static_cast<int>(index) % settings_.zones);
+      zone.empty()
+          ? fmt::format("zone-{}", static_cast<int>(index) % settings_.zones)
+          : zone;
   instance.link = fmt::format("10.0.{}.{}:1", index / 250, index % 250);
   instance.gossip = fmt::format("10.0.{}.{}:2", index / 250, index % 250);
   by_address_[instance.link] = index;
@@ -239,7 +241,11 @@
 
 void NodeFleet::Carry(size_t index, NodeAction action) {
   if (auto* reply = std::get_if<ReplyCall>(&action)) {
-    ended_[reply->call] = Ended{std::move(reply->answer), now_};
+    if (on_ended) {
+      on_ended(reply->call, reply->answer);
+    } else {
+      ended_[reply->call] = Ended{std::move(reply->answer), now_};
+    }
   } else if (auto* key = std::get_if<ReplyKey>(&action)) {
     keys_[key->call] = key->key;
   } else if (auto* peer = std::get_if<SendPeer>(&action)) {
@@ -380,16 +386,28 @@
   ++instance.runs;
   ++runs_by_body_[start.body];
   instance.running[start.work] = instance.generation;
+  if (instance.failing) {
+    instance.running.erase(start.work);
+    return EndWork(index, start.work, BackendResult::Type::kBroken);
+  }
   if (crashes_on && crashes_on(start.body)) return CrashBackend(index, 200);
   uint64_t generation = instance.generation;
   uint64_t work = start.work;
-  At(settings_.run_ms, [this, index, generation, work] {
+  At(RunMs(), [this, index, generation, work] {
     Instance& at = nodes_[index];
     if (at.generation != generation || at.running.erase(work) == 0) return;
     EndWork(index, work, BackendResult::Type::kAnswered);
   });
 }
 
+int64_t NodeFleet::RunMs() {
+  int64_t spread_ms = settings_.run_ms * settings_.run_jitter_permille / 1000;
+  if (spread_ms == 0) return settings_.run_ms;
+  return settings_.run_ms - spread_ms +
+         static_cast<int64_t>(
+             random_.Below(2 * static_cast<uint64_t>(spread_ms) + 1));
+}
+
 void NodeFleet::EndWork(size_t index, uint64_t work, BackendResult::Type type) {
   uint64_t generation = nodes_[index].generation;
   BackendResult result;
--- a/standins/node_fleet.h
+++ b/standins/node_fleet.h
@@ -21,8 +21,10 @@
   int loss_permille = 0;          ///< Datagrams lost, in 1/1000.
   int64_t platform_delay_ms = 3;  ///< Time for a platform call, in ms.
   int64_t run_ms = 10;            ///< Run time of every piece of work, in ms.
-  int slots = 20;                 ///< Slots of each backend server.
-  int64_t tick_ms = 10;           ///< Period of the nodes' ticks, in ms.
+  int run_jitter_permille =
+      0;                 ///< Run times vary by this share both ways, in 1/1000.
+  int slots = 20;        ///< Slots of each backend server.
+  int64_t tick_ms = 10;  ///< Period of the nodes' ticks, in ms.
   uint64_t seed = 1;
   NodeSettings node;  ///< Template; addresses, zone and seed are filled in.
 };
@@ -41,7 +43,11 @@
   explicit NodeFleet(const NodeFleetSettings& settings);
 
   /// Starts an instance with a backend server of `service`; returns its index.
-  size_t Start(const std::string& service);
+  size_t Start(const std::string& service, const std::string& zone = "");
+  /// While failing, the backend server breaks every run at once.
+  void SetFailing(size_t index, bool failing) {
+    nodes_[index].failing = failing;
+  }
   /// The process of an instance ends without a word; its backend server stays.
   void Kill(size_t index);
   /// A new process takes the place of a killed one.
@@ -94,6 +100,8 @@
   /// Called with each body that a backend server begins to run; true: it
   /// crashes.
   std::function<bool(const std::string& body)> crashes_on;
+  /// Called with each ended call, which is then not kept.
+  std::function<void(uint64_t call, const CallAnswer& answer)> on_ended;
   /// Called for each datagram sent.
   std::function<void(size_t from, const Datagram&)> on_datagram;
   /// Called for each message sent on a link.
@@ -111,6 +119,7 @@
     uint64_t generation = 0;
     uint64_t boot = 1;
     bool backend_up = true;
+    bool failing = false;
     std::map<uint64_t, uint64_t> running;
     uint64_t runs = 0;
     uint64_t seen_version = 0;
@@ -142,6 +151,7 @@
   void ReplyPlatform(size_t index, uint64_t generation, PlatformReply reply);
   void WakeWatches();
   void RunWork(size_t index, const StartBackend& start);
+  int64_t RunMs();
   void EndWork(size_t index, uint64_t work, BackendResult::Type type);
   void Announce(size_t index);
   void Tick(size_t index, uint64_t generation);
