--- a/banyanloft/daemon/node.cc
+++ b/banyanloft/daemon/node.cc
@@ -432,6 +432,7 @@
 }
 
 void Node::Adopt(TimeMs now, const SnapshotPtr& snapshot, Actions* actions) {
+  in_force_at_ = now;
   dispatcher_.SetSnapshot(snapshot);
   TargetRunner::Actions runs;
   runner_.SetSnapshot(now, snapshot, &runs);
@@ -607,6 +608,7 @@
       {"draining", draining_},
       {"watching", Watching(now)},
       {"version", distributor_.Version()},
+      {"in_force_at_ms", in_force_at_.Value()},
       {"newest_known", distributor_.NewestKnown()},
       {"version_source", distributor_.Source()},
       {"last_refusal", distributor_.LastRefusal()},
--- a/banyanloft/daemon/node.h
+++ b/banyanloft/daemon/node.h
@@ -155,6 +155,7 @@
   uint64_t rendezvous_read_ = 0;
   TimeMs rendezvous_read_at_;
   TimeMs next_machine_tick_;
+  TimeMs in_force_at_;
   TimeMs next_report_;
   std::vector<MemberId> reported_to_;
   std::vector<MemberId> lost_targets_;
--- a/standins/caller_standin.cc
+++ b/standins/caller_standin.cc
@@ -42,8 +42,12 @@
  public:
   CallerLoad(asio::io_context& io, std::vector<MixPart> mix,
              const std::vector<Endpoint>& daemons, int64_t seconds,
-             uint64_t seed)
-      : io_(io), mix_(std::move(mix)), random_(seed), timer_(io) {
+             uint64_t seed, std::string prefix)
+      : io_(io),
+        mix_(std::move(mix)),
+        random_(seed),
+        prefix_(std::move(prefix)),
+        timer_(io) {
     for (const Endpoint& daemon : daemons) {
       HttpClientSettings settings;
       settings.server = daemon;
@@ -102,7 +106,7 @@
             SteadyClockTime started, const std::string& key) {
     HttpRequest request;
     request.method = "POST";
-    request.target = "/call/" + part->name;
+    request.target = prefix_ + part->name;
     request.body = fmt::format("call {} {}", number, part->body);
     if (!key.empty()) request.headers.emplace_back(caller_api::kKeyHeader, key);
     std::string expected = fmt::format(": call {} ", number);
@@ -139,6 +143,7 @@
   asio::io_context& io_;
   std::vector<MixPart> mix_;
   Random random_;
+  std::string prefix_;
   asio::steady_timer timer_;
   std::vector<std::unique_ptr<HttpClient>> clients_;
   SteadyClockTime end_;
@@ -201,6 +206,7 @@
   std::vector<std::string> daemons;
   std::string mix_text;
   std::string output = "text";
+  std::string prefix = "/call/";
   int64_t seconds = 5;
   int64_t seed = 1;
   OptionTable options;
@@ -209,6 +215,8 @@
       "caller addresses of the daemons to call, chosen at random per call");
   options.Text("mix", &mix_text, "NAME:RATE[:key[:BODY]],... in calls a second",
                true);
+  options.Text("prefix", &prefix,
+               "path before the name; /run/ calls a backend server directly");
   options.Number("seconds", &seconds, 1, 600, "length of the load, in s");
   options.Number("seed", &seed, 1, INT64_MAX, "seed of arrivals and choices");
   options.Word("output", &output, {"text", "json"}, "form of the output");
@@ -227,7 +235,7 @@
     ParseEndpoint(daemons[i], &endpoints[i]);
   asio::io_context io;
   CallerLoad load(io, std::move(mix), endpoints, seconds,
-                  static_cast<uint64_t>(seed));
+                  static_cast<uint64_t>(seed), prefix);
   io.run();
   if (output == "json") {
     fmt::print("{}\n", MixJson(load.Mix()));
