--- a/banyanloft/config/codec.cc
+++ b/banyanloft/config/codec.cc
@@ -248,6 +248,19 @@
   return reader.Take();
 }
 
+std::string BundleToJson(const Pieces& pieces) { return Json(pieces).dump(); }
+
+Result<Pieces> BundleFromJson(const std::string& text) {
+  Json json = ParseJson(text);
+  if (!json.is_object()) return Invalid("bundle", "is not a JSON object");
+  Pieces pieces;
+  for (const auto& [name, bytes] : json.items()) {
+    if (!bytes.is_string()) return Invalid("bundle." + name, "is not a string");
+    pieces[name] = bytes.get<std::string>();
+  }
+  return pieces;
+}
+
 Manifest ManifestOf(const Pieces& pieces) {
   Manifest manifest;
   for (const auto& [name, bytes] : pieces)
--- a/banyanloft/config/codec.h
+++ b/banyanloft/config/codec.h
@@ -23,6 +23,10 @@
 /// Puts pieces together again. Fails on any malformed piece.
 Result<Configuration> JoinPieces(const Pieces& pieces);
 
+/// All pieces in one text, and back. Fails on malformed text.
+std::string BundleToJson(const Pieces& pieces);
+Result<Pieces> BundleFromJson(const std::string& text);
+
 /// The content address of each piece of a configuration.
 struct Manifest {
   std::map<std::string, std::string> piece_hashes;
--- a/banyanloft/core/ring.h
+++ b/banyanloft/core/ring.h
@@ -2,21 +2,21 @@
 
 #include <cassert>
 #include <cstddef>
+#include <deque>
 #include <mutex>
 #include <optional>
 #include <utility>
-#include <vector>
 
 namespace banyanloft {
 
 /// Bounded first-in first-out queue that joins the threads of a daemon. Any
 /// thread may push or pop. A full ring refuses the item: it never blocks and
-/// never drops silently.
+/// never drops silently. Memory is used only for items that wait.
 template <typename T>
 class Ring {
  public:
   /// Room for `capacity` items, at least one.
-  explicit Ring(size_t capacity) : slots_(capacity) { assert(capacity > 0); }
+  explicit Ring(size_t capacity) : capacity_(capacity) { assert(capacity > 0); }
 
   /// Outcome of a push.
   enum class Push {
@@ -28,33 +28,30 @@
   /// Appends `item`, moving from it only if accepted.
   Push TryPush(T& item) {
     std::lock_guard<std::mutex> lock(mutex_);
-    if (size_ == slots_.size()) return Push::kFull;
-    slots_[(head_ + size_) % slots_.size()] = std::move(item);
-    ++size_;
-    return size_ == 1 ? Push::kFirst : Push::kMore;
+    if (items_.size() == capacity_) return Push::kFull;
+    items_.push_back(std::move(item));
+    return items_.size() == 1 ? Push::kFirst : Push::kMore;
   }
 
   /// Removes the oldest item.
   std::optional<T> TryPop() {
     std::lock_guard<std::mutex> lock(mutex_);
-    if (size_ == 0) return std::nullopt;
-    std::optional<T> item(std::move(slots_[head_]));
-    head_ = (head_ + 1) % slots_.size();
-    --size_;
+    if (items_.empty()) return std::nullopt;
+    std::optional<T> item(std::move(items_.front()));
+    items_.pop_front();
     return item;
   }
 
   /// Items waiting now.
   size_t Size() const {
     std::lock_guard<std::mutex> lock(mutex_);
-    return size_;
+    return items_.size();
   }
 
  private:
   mutable std::mutex mutex_;
-  std::vector<T> slots_;
-  size_t head_ = 0;
-  size_t size_ = 0;
+  std::deque<T> items_;
+  size_t capacity_;
 };
 
 }  // namespace banyanloft
--- a/banyanloft/distribution/distributor.cc
+++ b/banyanloft/distribution/distributor.cc
@@ -19,8 +19,13 @@
 Distributor::Distributor(const DistributorSettings& settings,
                          std::string own_zone, uint64_t seed, TimeMs now)
     : settings_(settings), own_zone_(std::move(own_zone)), random_(seed) {
-  uint64_t window = static_cast<uint64_t>(settings.start_window_ms) + 1;
-  next_head_read_ = now + static_cast<int64_t>(random_.Below(window));
+  // A starting daemon hears from peers first: herds must not all ask the
+  // platform.
+  uint64_t window = static_cast<uint64_t>(settings.start_window_ms +
+                                          settings.peer_patience_ms) +
+                    1;
+  next_head_read_ = now + settings_.peer_patience_ms +
+                    static_cast<int64_t>(random_.Below(window));
 }
 
 void Distributor::Tick(TimeMs now, bool watching,
@@ -59,8 +64,15 @@
   }
 
   // Behind, and nobody being asked: try a peer at random.
-  bool behind = Version() < newest_known_;
-  if (behind && pulling_from_.empty() && !fetch_ && now >= next_pull_) {
+  NoteBehind(now);
+  bool peers_failed =
+      behind_ && now - behind_since_ >= settings_.peer_patience_ms;
+  if (peers_failed && head_newest_.version > Version() && !fetch_ &&
+      platform_failures_ == 0) {
+    behind_since_ = now;
+    StartFetch(now, head_newest_, actions);
+  }
+  if (behind_ && pulling_from_.empty() && !fetch_ && now >= next_pull_) {
     next_pull_ = now + settings_.pull_pause_ms;
     if (!sources_.empty()) {
       std::string link = sources_.front();
@@ -90,6 +102,12 @@
   if (started_up_) zone_peers_heard_.clear();
 }
 
+void Distributor::NoteBehind(TimeMs now) {
+  bool behind = Version() < newest_known_;
+  if (behind && !behind_) behind_since_ = now;
+  behind_ = behind;
+}
+
 void Distributor::OnRumour(TimeMs now, const Peer& peer, uint64_t version,
                            Actions* actions) {
   if (!started_up_ && peer.zone == own_zone_)
@@ -176,6 +194,8 @@
   if (read == fetch_reads_.end()) return;
   std::string piece = read->second;
   fetch_reads_.erase(read);
+  bool bundle = fetch_->bundle && !result.error;
+  if (bundle) return OnBundle(now, result, actions);
   if (result.error || !result.found) {
     fetch_.reset();
     fetch_reads_.clear();
@@ -210,7 +230,7 @@
   head_read_deadline_ = now + wait_ms + settings_.platform_timeout_ms;
 }
 
-void Distributor::OnHead(TimeMs, const PlatformReadResult& result,
+void Distributor::OnHead(TimeMs now, const PlatformReadResult& result,
                          Actions* actions) {
   head_seen_ = true;
   head_revision_ = result.found ? result.revision : 0;
@@ -223,16 +243,43 @@
   }
   HeadEntry newest = ValueOf(head)->Newest();
   newest_known_ = std::max(newest_known_, newest.version);
-  if (newest.version > Version() && !fetch_) StartFetch(newest, actions);
+  head_newest_ = newest;
+  // Watching members fetch from the platform, the others from peers.
+  if (newest.version > Version() && !fetch_ && head_read_watches_)
+    StartFetch(now, newest, actions);
 }
 
-void Distributor::StartFetch(const HeadEntry& entry, Actions* actions) {
+void Distributor::StartFetch(TimeMs now, const HeadEntry& entry,
+                             Actions* actions) {
   fetch_ = Fetch();
   fetch_->entry = entry;
   fetch_reads_.clear();
-  fetch_reads_[Read(ManifestKey(entry.manifest_hash), std::nullopt, 0,
+  fetch_->bundle = in_force_ == nullptr;
+  if (fetch_->bundle) {
+    fetch_reads_[Read(BundleKey(entry.manifest_hash), std::nullopt, 0,
+                      actions)] = "";
+  } else {
+    ReadManifest(actions);
+  }
+  fetch_deadline_ = now + 2 * settings_.platform_timeout_ms;
+}
+
+void Distributor::ReadManifest(Actions* actions) {
+  fetch_->bundle = false;
+  fetch_reads_[Read(ManifestKey(fetch_->entry.manifest_hash), std::nullopt, 0,
                     actions)] = "";
-  fetch_deadline_ = head_read_deadline_ + settings_.platform_timeout_ms;
+}
+
+void Distributor::OnBundle(TimeMs now, const PlatformReadResult& result,
+                           Actions* actions) {
+  // A configuration too large for a bundle is read piece by piece.
+  if (!result.found) return ReadManifest(actions);
+  Result<Pieces> pieces = BundleFromJson(result.value);
+  Fetch done = std::move(*fetch_);
+  fetch_.reset();
+  if (const Error* error = ErrorOf(pieces))
+    return Refuse(done.entry, "platform", error->detail);
+  Adopt(now, done.entry, std::move(*ValueOf(pieces)), "platform", actions);
 }
 
 void Distributor::OnManifest(TimeMs now, const PlatformReadResult& result,
--- a/banyanloft/distribution/distributor.h
+++ b/banyanloft/distribution/distributor.h
@@ -32,6 +32,8 @@
       500;  ///< Mean time between polls of the whole fleet, in ms.
   int64_t poll_min_ms = 2000;  ///< Shortest mean time between own polls, in ms.
   int64_t pull_pause_ms = 200;  ///< Pause between unprompted pulls, in ms.
+  int64_t peer_patience_ms =
+      3000;  ///< Time given to peers before the platform is asked, in ms.
   int64_t start_window_ms =
       100;  ///< A starting daemon reads the platform within this time, in ms.
   size_t peers_to_trust =
@@ -149,6 +151,7 @@
     Manifest manifest;
     Pieces pieces;
     size_t missing = 0;
+    bool bundle = false;  ///< The bundle was asked for instead of the manifest.
   };
 
   uint64_t Read(const std::string& key, std::optional<uint64_t> watch_after,
@@ -156,7 +159,10 @@
   void CheckStartedUp(size_t zone_peers);
   void ReadHead(TimeMs now, bool watching, Actions* actions);
   void OnHead(TimeMs now, const PlatformReadResult& result, Actions* actions);
-  void StartFetch(const HeadEntry& entry, Actions* actions);
+  void StartFetch(TimeMs now, const HeadEntry& entry, Actions* actions);
+  void ReadManifest(Actions* actions);
+  void OnBundle(TimeMs now, const PlatformReadResult& result, Actions* actions);
+  void NoteBehind(TimeMs now);
   void OnManifest(TimeMs now, const PlatformReadResult& result,
                   Actions* actions);
   void OnPiece(TimeMs now, const PlatformReadResult& result, Actions* actions);
@@ -183,6 +189,9 @@
   TimeMs head_read_deadline_;
   bool head_read_watches_ = false;
   uint64_t head_revision_ = 0;
+  HeadEntry head_newest_;
+  bool behind_ = false;
+  TimeMs behind_since_;
   bool head_seen_ = false;
   TimeMs next_head_read_;
   int platform_failures_ = 0;
--- a/banyanloft/distribution/head.cc
+++ b/banyanloft/distribution/head.cc
@@ -58,6 +58,9 @@
 std::string PieceKey(const std::string& piece_hash) {
   return "pieces/" + piece_hash;
 }
+std::string BundleKey(const std::string& manifest_hash) {
+  return "bundles/" + manifest_hash;
+}
 std::string RendezvousKey(const std::string& zone) {
   return "rendezvous/" + zone;
 }
--- a/banyanloft/http/http_server.cc
+++ b/banyanloft/http/http_server.cc
@@ -124,9 +124,11 @@
     probe_.async_wait([self = shared_from_this()](beast::error_code error) {
       if (!error && self->reading_) self->Refuse(ErrorKind::kSlowRequest);
     });
+    read_pending_ = true;
     bhttp::async_read(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](beast::error_code error, size_t) {
+          self->read_pending_ = false;
           self->OnRead(error);
         });
   }
@@ -196,8 +198,16 @@
     if (!response_->need_eof()) return Read();
     beast::error_code ignored;
     stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-    stream_.expires_after(std::chrono::milliseconds(kLingerMs));
-    Discard();
+    Linger();
+    if (!read_pending_) Discard();
+  }
+
+  /// Closes the connection after a moment.
+  void Linger() {
+    probe_.expires_after(std::chrono::milliseconds(kLingerMs));
+    probe_.async_wait([self = shared_from_this()](beast::error_code error) {
+      if (!error) self->Close();
+    });
   }
 
   /// Reads on for a moment, so that the answer is not lost to a reset.
@@ -218,7 +228,8 @@
   asio::steady_timer probe_;
   std::string discard_;
   uint64_t request_id_ = 0;
-  bool reading_ = false;
+  bool reading_ = false;       ///< A request is awaited within its time.
+  bool read_pending_ = false;  ///< Beast still reads; no other read may begin.
   bool keep_alive_ = true;
   bool finished_ = false;
 };
--- a/banyanloft/links/cbor.cc
+++ b/banyanloft/links/cbor.cc
@@ -4,6 +4,8 @@
 namespace {
 
 constexpr int kMaxNesting = 6;
+/// Announced sizes are not believed: the library would throw at absurd ones.
+constexpr std::size_t kUnknownSize = static_cast<std::size_t>(-1);
 
 /// Builds the value, but stops at nesting that no message has, so that hostile
 /// input cannot exhaust the stack.
@@ -15,12 +17,12 @@
 
   // Names and signatures are the library's.
   // NOLINTBEGIN(readability-identifier-naming)
-  bool start_array(std::size_t size) {
-    return ++depth_ <= kMaxNesting && Base::start_array(size);
+  bool start_array(std::size_t) {
+    return ++depth_ <= kMaxNesting && Base::start_array(kUnknownSize);
   }
   bool end_array() { return --depth_, Base::end_array(); }
-  bool start_object(std::size_t size) {
-    return ++depth_ <= kMaxNesting && Base::start_object(size);
+  bool start_object(std::size_t) {
+    return ++depth_ <= kMaxNesting && Base::start_object(kUnknownSize);
   }
   bool end_object() { return --depth_, Base::end_object(); }
   // NOLINTEND(readability-identifier-naming)
--- a/banyanloft/operator/operator_session.cc
+++ b/banyanloft/operator/operator_session.cc
@@ -8,6 +8,9 @@
 namespace banyanloft {
 namespace {
 
+/// Longest bundle that is written; the platform holds values up to a megabyte.
+constexpr size_t kMaxBundleBytes = 900 * 1000;
+
 std::string Describe(const HeadEntry& entry) {
   return fmt::format("version {} by {}{}", entry.version, entry.author,
                      entry.note.empty() ? "" : ": " + entry.note);
@@ -88,6 +91,13 @@
       WriteContent(ManifestKey(entry.manifest_hash), manifest_json);
   if (error) return *error;
 
+  // Daemons that hold nothing yet read the whole at once, if it fits.
+  std::string bundle = BundleToJson(pieces);
+  if (bundle.size() <= kMaxBundleBytes) {
+    error = WriteContent(BundleKey(entry.manifest_hash), bundle);
+    if (error) return *error;
+  }
+
   entry.version = plan.base.head.Newest().version + 1;
   entry.change_id =
       fmt::format("{:016x}{:016x}", random_.Bits(), random_.Bits());
--- /dev/null
+++ b/tests/daemon_test.cc
@@ -0,0 +1,227 @@
+#include "banyanloft/daemon/daemon.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <thread>
+
+#include "banyanloft/core/duty.h"
+#include "banyanloft/core/log.h"
+#include "banyanloft/daemon/caller_api.h"
+#include "banyanloft/daemon/daemon_options.h"
+#include "banyanloft/daemon/metrics_page.h"
+#include "banyanloft/http/http_client.h"
+#include "banyanloft/http/http_server.h"
+#include "banyanloft/operator/operator_session.h"
+#include "banyanloft/platform/http_platform.h"
+#include "standins/node_fleet.h"
+#include "standins/platform_server.h"
+
+using namespace banyanloft;
+
+namespace {
+
+/// A backend server that echoes and counts.
+class EchoBackend final : public HttpHandler {
+ public:
+  EchoBackend() : server_(duty_.Io(), HttpServerSettings(), this) {
+    at_ = *ValueOf(server_.Start());
+    duty_.Start();
+  }
+  ~EchoBackend() override { duty_.Stop(); }
+  void OnRequest(uint64_t id, HttpRequest request) override {
+    ++runs;
+    HttpResponse response;
+    response.body = "echo " + request.body;
+    server_.Reply(id, std::move(response));
+  }
+  void OnAbandoned(uint64_t) override {}
+  HttpResponse OnRefused(ErrorKind) override { return HttpResponse(); }
+  const Endpoint& At() const { return at_; }
+  std::atomic<int> runs{0};
+
+ private:
+  Duty duty_{"backend"};
+  HttpServer server_;
+  Endpoint at_;
+};
+
+HttpResponse Ask(const Endpoint& at, HttpRequest request) {
+  boost::asio::io_context io;
+  HttpClientSettings settings;
+  settings.server = at;
+  HttpClient client(io, settings);
+  HttpResponse response;
+  response.status = 0;
+  client.Send(1, std::move(request), 5000, [&](HttpOutcome outcome) {
+    if (!outcome.failure) response = std::move(outcome.response);
+    io.stop();
+  });
+  io.run();
+  return response;
+}
+
+HttpRequest Post(const std::string& target, const std::string& body,
+                 const std::string& key = "") {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = target;
+  request.body = body;
+  if (!key.empty()) request.headers.emplace_back(caller_api::kKeyHeader, key);
+  return request;
+}
+
+}  // namespace
+
+/// Two daemons with their threads and sockets in one process.
+TEST_GROUP(daemon) {
+  Duty platform_duty_{"platform"};
+  std::unique_ptr<PlatformServer> platform_;
+  EchoBackend backends_[2];
+  std::unique_ptr<Daemon> daemons_[2];
+  DaemonAddresses at_[2];
+
+  void setup() override {
+    SetLogLevel(LogLevel::kError);
+    platform_ = std::make_unique<PlatformServer>(platform_duty_.Io(),
+                                                 HttpServerSettings());
+    Endpoint platform_at = *ValueOf(platform_->Start());
+    platform_duty_.Start();
+    HttpPlatform store(platform_at, 1000);
+    OperatorSession session(OperatorSettings(), &store, [](int64_t) {});
+    CHECK(ValueOf(session.Apply(
+              *ValueOf(session.Plan(SampleConfiguration(), "")))) != nullptr);
+    for (int i = 0; i < 2; ++i) {
+      DaemonSettings settings;
+      settings.node.zone = "zone-a";
+      settings.node.secret = "secret of the tests";
+      settings.node.seed = static_cast<uint64_t>(i + 1);
+      settings.backend = backends_[i].At();
+      settings.platform = platform_at;
+      daemons_[i] = std::make_unique<Daemon>(settings);
+      at_[i] = *ValueOf(daemons_[i]->Start());
+    }
+    CHECK(Eventually([&] { return AnnounceAndLook(); }));
+  }
+  void teardown() override {
+    for (auto& daemon : daemons_) daemon.reset();
+    platform_duty_.Stop();
+    platform_.reset();
+  }
+
+  static bool Eventually(const std::function<bool()>& done) {
+    for (int i = 0; i < 600; ++i) {
+      if (done()) return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    return false;
+  }
+  /// Announces both backend servers; true once both daemons see two ready
+  /// targets.
+  bool AnnounceAndLook() {
+    bool all = true;
+    for (int i = 0; i < 2; ++i) {
+      Ask(at_[i].admin,
+          Post(
+              "/announce",
+              R"({"service":"shop","slots":5,"state":"ready","boot_id":"b"})"));
+      std::string status = Get(i, "/status").body;
+      size_t first = status.find("\"state\": \"ready\"");
+      all = all && Get(i, "/readyz").status == 200 &&
+            first != std::string::npos &&
+            status.find("\"state\": \"ready\"", first + 1) != std::string::npos;
+    }
+    return all;
+  }
+  HttpResponse Get(int i, const std::string& path) {
+    HttpRequest request;
+    request.target = path;
+    return Ask(at_[i].admin, std::move(request));
+  }
+};
+
+TEST(daemon, callsThroughEitherDaemon_areAnsweredWhole) {
+  for (int i = 0; i < 40; ++i) {
+    std::string body = "call " + std::to_string(i);
+    HttpResponse response =
+        Ask(at_[i % 2].caller, Post("/call/s.shop/read", body));
+    CHECK_EQUAL(200, response.status);
+    CHECK(response.body == "echo " + body);
+  }
+  CHECK_EQUAL(40, backends_[0].runs + backends_[1].runs);
+}
+
+TEST(daemon, keyResentThroughTheOtherDaemon_runsOnce) {
+  HttpResponse taken = Ask(at_[0].caller, Post("/keys/pay", ""));
+  std::string key(HeaderOf(taken.headers, caller_api::kKeyHeader));
+  for (int i = 0; i < 4; ++i) {
+    HttpResponse response =
+        Ask(at_[i % 2].caller, Post("/call/pay", "deposit", key));
+    CHECK(response.body == "echo deposit");
+  }
+  CHECK_EQUAL(1, backends_[0].runs + backends_[1].runs);
+}
+
+TEST(daemon, metricsAndExplain_tellOfCalls) {
+  Ask(at_[0].caller, Post("/call/read", "x"));
+  Ask(at_[0].caller, Post("/call/nothing", "x"));
+  std::string metrics = Get(0, "/metrics").body;
+  CHECK(metrics.find("banyanloft_calls_served_total{rank=\"urgent\"} 1") !=
+        std::string::npos);
+  CHECK(metrics.find("banyanloft_refusals_total{error=\"unknown_route\"} 1") !=
+        std::string::npos);
+  CHECK(Get(0, "/explain?name=c.shop/read")
+            .body.find("route 'read' of service 'shop'") != std::string::npos);
+  CHECK_EQUAL(404, Get(0, "/nothing").status);
+  CHECK_EQUAL(400, Ask(at_[0].admin, Post("/announce", "{}")).status);
+}
+
+TEST(daemon, drainedDaemon_ends) {
+  daemons_[0]->BeginDrain();
+  daemons_[0]->WaitUntilDrained();
+  CHECK(Eventually([&] {
+    return Ask(at_[1].caller, Post("/call/read", "x")).status == 200;
+  }));
+}
+
+/// The ring between threads, alone.
+TEST_GROUP(ring){};
+
+TEST(ring, fullRing_refusesAndKeepsTheItem) {
+  Ring<std::string> ring(1);
+  std::string first = "first";
+  std::string second = "second";
+  CHECK(ring.TryPush(first) == Ring<std::string>::Push::kFirst);
+  CHECK(ring.TryPush(second) == Ring<std::string>::Push::kFull);
+  CHECK(second == "second");
+  CHECK(*ring.TryPop() == "first");
+  CHECK_FALSE(ring.TryPop().has_value());
+}
+
+TEST(ring, manyThreads_everyItemArrivesOnceInItsOrder) {
+  constexpr int kThreads = 4;
+  constexpr int kItems = 5000;
+  Duty duty("consumer");
+  std::vector<int> last(kThreads, -1);
+  std::atomic<int> count{0};
+  std::atomic<bool> ordered{true};
+  Inbox<std::pair<int, int>> inbox(duty, 64, [&](std::pair<int, int> item) {
+    if (item.second != last[static_cast<size_t>(item.first)] + 1)
+      ordered = false;
+    last[static_cast<size_t>(item.first)] = item.second;
+    ++count;
+  });
+  duty.Start();
+  std::vector<std::thread> threads;
+  for (int t = 0; t < kThreads; ++t) {
+    threads.emplace_back([&, t] {
+      for (int i = 0; i < kItems; ++i) {
+        std::pair<int, int> item{t, i};
+        while (!inbox.TryPush(item)) std::this_thread::yield();
+      }
+    });
+  }
+  for (std::thread& thread : threads) thread.join();
+  while (count < kThreads * kItems) std::this_thread::yield();
+  duty.Stop();
+  CHECK(ordered);
+}
--- /dev/null
+++ b/tests/http_test.cc
@@ -0,0 +1,227 @@
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <thread>
+
+#include "banyanloft/daemon/caller_api.h"
+#include "banyanloft/http/http_client.h"
+#include "banyanloft/http/http_server.h"
+
+using namespace banyanloft;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+/// Echoes bodies; a body `hold` is never answered.
+class EchoHandler final : public HttpHandler {
+ public:
+  void OnRequest(uint64_t id, HttpRequest request) override {
+    if (request.body == "hold") return;
+    HttpResponse response;
+    response.body = request.body;
+    server->Reply(id, std::move(response));
+  }
+  void OnAbandoned(uint64_t) override { ++abandoned; }
+  HttpResponse OnRefused(ErrorKind kind) override {
+    return caller_api::RefusalResponse(kind, "", false);
+  }
+
+  HttpServer* server = nullptr;
+  std::atomic<int> abandoned{0};
+};
+
+/// A peer that takes one connection and plays a fixed part.
+class ScriptedServer {
+ public:
+  /// Reads a request head, writes `answer`, then closes (or resets).
+  ScriptedServer(std::string answer, bool read_first)
+      : acceptor_(io_, Tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+    thread_ = std::thread([this, answer = std::move(answer), read_first] {
+      Tcp::socket socket(io_);
+      boost::system::error_code error;
+      acceptor_.accept(socket, error);
+      if (error) return;
+      std::array<char, 4096> buffer{};
+      if (read_first) socket.read_some(asio::buffer(buffer), error);
+      asio::write(socket, asio::buffer(answer), error);
+    });
+  }
+  ~ScriptedServer() { thread_.join(); }
+  uint16_t Port() const { return acceptor_.local_endpoint().port(); }
+
+ private:
+  asio::io_context io_;
+  Tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+}  // namespace
+
+/// The HTTP edges over loopback, with the fault cases of their contract.
+TEST_GROUP(http) {
+  asio::io_context io_;
+  HttpServerSettings settings_;
+  EchoHandler handler_;
+  std::unique_ptr<HttpServer> server_;
+  std::thread thread_;
+  Endpoint endpoint_;
+
+  void setup() override {
+    settings_.max_body_bytes = 1000;
+    settings_.max_head_bytes = 1000;
+    settings_.read_timeout_ms = 200;
+    server_ = std::make_unique<HttpServer>(io_, settings_, &handler_);
+    handler_.server = server_.get();
+    endpoint_ = *ValueOf(server_->Start());
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  void teardown() override {
+    io_.stop();
+    thread_.join();
+    server_.reset();
+  }
+
+  /// Sends raw bytes and reads until the server closes.
+  std::string Raw(const std::string& bytes) {
+    asio::io_context io;
+    Tcp::socket socket(io);
+    socket.connect(
+        Tcp::endpoint(asio::ip::address_v4::loopback(), endpoint_.port));
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(bytes), error);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    return answer;
+  }
+  static bool Holds(const std::string& text, const std::string& part) {
+    return text.find(part) != std::string::npos;
+  }
+
+  static HttpOutcome Send(uint16_t port, const std::string& body,
+                          int64_t timeout_ms = 1000, size_t max_body = 1000) {
+    asio::io_context io;
+    HttpClientSettings settings;
+    settings.server.port = port;
+    settings.max_body_bytes = max_body;
+    HttpClient client(io, settings);
+    HttpRequest request;
+    request.method = "POST";
+    request.body = body;
+    HttpOutcome outcome;
+    client.Send(1, request, timeout_ms, [&](HttpOutcome got) {
+      outcome = std::move(got);
+      io.stop();
+    });
+    io.run();
+    return outcome;
+  }
+};
+
+TEST(http, soundRequest_isAnsweredWhole) {
+  HttpOutcome outcome = Send(endpoint_.port, "a body");
+  CHECK_FALSE(outcome.failure.has_value());
+  CHECK(outcome.response.body == "a body");
+}
+
+TEST(http, malformedRequests_get400) {
+  for (const char* bytes :
+       {"nonsense\r\n\r\n", "GET / HTTP/9.9\r\n\r\n", "GET  HTTP/1.1\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: many\r\n\r\n",
+        "\x01\x02\x03\r\n\r\n"}) {
+    CHECK(Holds(Raw(bytes), "400 Bad Request"));
+  }
+}
+
+TEST(http, oversizedRequests_get413WithoutBeingRead) {
+  CHECK(Holds(Raw("POST / HTTP/1.1\r\nContent-Length: 1000000000\r\n\r\n"),
+              "413"));
+  CHECK(
+      Holds(Raw("GET / HTTP/1.1\r\nX: " + std::string(5000, 'x') + "\r\n\r\n"),
+            "413"));
+}
+
+TEST(http, requestThatNeverEnds_gets408) {
+  CHECK(Holds(Raw("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc"), "408"));
+}
+
+TEST(http, chunkedBodyOverTheLimit_gets413) {
+  std::string chunk = "400\r\n" + std::string(0x400, 'x') + "\r\n";
+  CHECK(Holds(Raw("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                  chunk + chunk),
+              "413"));
+}
+
+TEST(http, clientLeaves_handlerIsTold) {
+  {
+    asio::io_context io;
+    Tcp::socket socket(io);
+    socket.connect(
+        Tcp::endpoint(asio::ip::address_v4::loopback(), endpoint_.port));
+    std::string bytes = "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nhold";
+    asio::write(socket, asio::buffer(bytes));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  for (int i = 0; i < 500 && handler_.abandoned == 0; ++i)
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  CHECK_EQUAL(1, handler_.abandoned.load());
+}
+
+TEST(http, clientConnectionRefused_isNotSent) {
+  uint16_t port = 0;
+  {
+    asio::io_context io;
+    Tcp::acceptor acceptor(io,
+                           Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    port = acceptor.local_endpoint().port();
+  }
+  CHECK(Send(port, "x").failure == HttpFailure::kNotSent);
+}
+
+TEST(http, clientAnswerFaults_areToldByKind) {
+  struct Case {
+    const char* answer;
+    HttpFailure failure;
+  };
+  const std::vector<Case> cases = {
+      {"", HttpFailure::kBroken},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\ncut",
+       HttpFailure::kBroken},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+       HttpFailure::kBroken},
+      {"not http at all\r\n\r\n", HttpFailure::kBroken},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n",
+       HttpFailure::kTooLarge},
+  };
+  for (const Case& c : cases) {
+    ScriptedServer server(c.answer, true);
+    HttpOutcome outcome = Send(server.Port(), "x");
+    CHECK(outcome.failure == c.failure);
+  }
+}
+
+TEST(http, clientAnswerNeverComes_isATimeout) {
+  CHECK(Send(endpoint_.port, "hold", 100).failure == HttpFailure::kTimeout);
+}
+
+TEST(http, keyedRefusalAtTheInterface_neverSaysNotRun) {
+  HttpResponse keyed =
+      caller_api::RefusalResponse(ErrorKind::kQueueFull, "", true);
+  HttpResponse plain =
+      caller_api::RefusalResponse(ErrorKind::kQueueFull, "", false);
+  CHECK(HeaderOf(keyed.headers, caller_api::kRunHeader) == "unknown");
+  CHECK(HeaderOf(plain.headers, caller_api::kRunHeader) == "not_run");
+}
+
+TEST(http, everyErrorKind_hasItsRowAndName) {
+  for (size_t i = 0; i < kErrorKindCount; ++i) {
+    ErrorKind kind = static_cast<ErrorKind>(i);
+    const ErrorAnswer& row = ErrorAnswerOf(kind);
+    CHECK(row.kind == kind);
+    CHECK(ErrorKindFromName(row.name) == kind);
+    CHECK(row.http_status >= 400 && row.http_status < 600);
+  }
+}
--- /dev/null
+++ b/tests/link_test.cc
@@ -0,0 +1,290 @@
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "banyanloft/links/cbor.h"
+#include "banyanloft/links/frame.h"
+#include "banyanloft/links/gossip_socket.h"
+#include "banyanloft/links/link_hub.h"
+
+using namespace banyanloft;
+
+namespace {
+
+constexpr char kSecret[] = "secret of the tests";
+
+/// Records what a hub tells.
+class Recorder final : public LinkListener {
+ public:
+  void OnLinkMessage(const std::string& link, PeerMessage message) override {
+    from.push_back(link);
+    messages.push_back(std::move(message));
+  }
+  void OnLinkNotSent(const std::string&, PeerMessage) override { ++not_sent; }
+  void OnLinkLost(const std::string&) override { ++lost; }
+
+  std::vector<std::string> from;
+  std::vector<PeerMessage> messages;
+  int not_sent = 0;
+  int lost = 0;
+};
+
+RunRequest Request(uint64_t attempt, size_t bytes) {
+  RunRequest request;
+  request.attempt = attempt;
+  request.route = "read";
+  request.body = std::string(bytes, 'x');
+  return request;
+}
+
+}  // namespace
+
+TEST_GROUP(link) {
+  FrameSettings frames_;
+
+  void setup() override { frames_.chunk_bytes = 100; }
+
+  static void RunUntil(boost::asio::io_context & io,
+                       const std::function<bool()>& done) {
+    for (int i = 0; i < 300 && !done(); ++i) {
+      io.restart();
+      io.run_for(std::chrono::milliseconds(10));
+    }
+    CHECK(done());
+  }
+};
+
+TEST(link, urgentMessage_overtakesALongOneOfALesserRank) {
+  FrameScheduler scheduler(frames_);
+  CHECK(scheduler.Push(3, 1, std::string(1000, 'a')));
+  std::optional<uint64_t> started;
+  scheduler.Pop(&started);
+  CHECK(started == uint64_t{1});
+  CHECK(scheduler.Push(0, 2, std::string(50, 'b')));
+  scheduler.Pop(&started);
+  CHECK(started == uint64_t{2});
+}
+
+TEST(link, longAndShortMessagesOfOneRank_takeTurns) {
+  FrameScheduler scheduler(frames_);
+  scheduler.Push(1, 1, std::string(10000, 'a'));
+  scheduler.Push(1, 2, std::string(50, 'b'));
+  std::optional<uint64_t> started;
+  scheduler.Pop(&started);
+  scheduler.Pop(&started);
+  CHECK(started == uint64_t{2});
+}
+
+TEST(link, randomMessages_arriveWholeInAnyInterleaving) {
+  bool holds = rc::check([this] {
+    auto sizes =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 1000));
+    FrameScheduler scheduler(frames_);
+    FrameAssembler assembler(frames_);
+    std::multiset<std::string> sent;
+    for (size_t i = 0; i < sizes.size(); ++i) {
+      std::string message(static_cast<size_t>(sizes[i]),
+                          static_cast<char>('a' + i % 26));
+      sent.insert(message);
+      RC_ASSERT(scheduler.Push(static_cast<int>(i % 4), i, message));
+    }
+    std::multiset<std::string> got;
+    std::optional<uint64_t> started;
+    while (std::optional<std::string> frame = scheduler.Pop(&started)) {
+      auto result = assembler.Push(*frame);
+      RC_ASSERT(ErrorOf(result) == nullptr);
+      if (*ValueOf(result)) got.insert(**ValueOf(result));
+    }
+    RC_ASSERT(sent == got);
+    RC_ASSERT(assembler.PartialBytes() == 0U);
+  });
+  CHECK(holds);
+}
+
+TEST(link, messageTooLong_isDroppedAlone) {
+  frames_.max_message_bytes = 250;
+  FrameSettings wide = frames_;
+  wide.max_message_bytes = 10000;
+  FrameScheduler scheduler(wide);
+  FrameAssembler assembler(frames_);
+  scheduler.Push(1, 1, std::string(1000, 'a'));
+  scheduler.Push(1, 2, std::string(200, 'b'));
+  std::vector<std::string> whole;
+  std::optional<uint64_t> started;
+  int errors = 0;
+  while (std::optional<std::string> frame = scheduler.Pop(&started)) {
+    auto result = assembler.Push(*frame);
+    if (ErrorOf(result) != nullptr) {
+      ++errors;
+    } else if (*ValueOf(result)) {
+      whole.push_back(**ValueOf(result));
+    }
+  }
+  CHECK_EQUAL(1, errors);
+  CHECK(whole == std::vector<std::string>{std::string(200, 'b')});
+  CHECK_EQUAL(0U, assembler.PartialBytes());
+}
+
+TEST(link, randomFrames_neverBreakTheAssembler) {
+  bool holds = rc::check([this] {
+    FrameAssembler assembler(frames_);
+    auto inputs = *rc::gen::arbitrary<std::vector<std::string>>();
+    for (const std::string& input : inputs) assembler.Push(input);
+    RC_ASSERT(assembler.PartialBytes() <=
+              frames_.max_partial_messages * frames_.max_message_bytes);
+  });
+  CHECK(holds);
+}
+
+TEST(link, messages_surviveEncodingAndDecoding) {
+  RunAnswer answer;
+  answer.attempt = 7;
+  answer.outcome.run_state = RunState::kRan;
+  answer.outcome.http_status = 200;
+  answer.outcome.body = std::string("a\0b\xff", 4);
+  answer.load.running = 3;
+  answer.load.levels.fill(1000);
+  Result<PeerMessage> back = DecodePeerMessage(EncodePeerMessage(answer));
+  const RunAnswer& got = std::get<RunAnswer>(*ValueOf(back));
+  CHECK(got.outcome.body == answer.outcome.body);
+  CHECK(got.load.levels == answer.load.levels);
+  CHECK_FALSE(got.outcome.error.has_value());
+
+  PullReply reply;
+  reply.entry.version = 9;
+  reply.base_version = 8;
+  reply.removed = {"service/a"};
+  reply.pieces["service/b"] = "{}";
+  Result<PeerMessage> pulled = DecodePeerMessage(EncodePeerMessage(reply));
+  CHECK(std::get<PullReply>(*ValueOf(pulled)).pieces == reply.pieces);
+  CHECK(std::get<PullReply>(*ValueOf(pulled)).removed == reply.removed);
+}
+
+TEST(link, tamperedMessages_areRefusedOrSound) {
+  std::string bytes = EncodePeerMessage(Request(1, 20));
+  for (size_t i = 0; i < bytes.size(); ++i) {
+    CHECK(ErrorOf(DecodePeerMessage(bytes.substr(0, i))) != nullptr);
+    std::string bad = bytes;
+    bad[i] = static_cast<char>(bad[i] ^ 0x55);
+    DecodePeerMessage(bad);
+  }
+  CHECK(ErrorOf(DecodePeerMessage(bytes + "x")) != nullptr);
+}
+
+TEST(link, deepNesting_isRefusedWithoutRecursion) {
+  CHECK(FromCbor(std::string(1000000, '\x81')).is_discarded());
+}
+
+TEST(link, randomBytes_neverBreakTheDecoders) {
+  bool holds = rc::check([] {
+    auto input = *rc::gen::arbitrary<std::string>();
+    DecodePeerMessage(input);
+    DecodeChallenge(input);
+    DecodeHello(input);
+    RC_ASSERT(ErrorOf(DecodeDatagram(input, kSecret)) != nullptr);
+  });
+  CHECK(holds);
+}
+
+TEST(link, datagramWithAnotherSecret_isRefused) {
+  Datagram datagram;
+  datagram.from = 5;
+  datagram.version = 3;
+  std::string bytes = EncodeDatagram(datagram, kSecret);
+  CHECK_EQUAL(3U, ValueOf(DecodeDatagram(bytes, kSecret))->version);
+  CHECK(ErrorOf(DecodeDatagram(bytes, "another secret")) != nullptr);
+  bytes[40] = static_cast<char>(bytes[40] ^ 1);
+  CHECK(ErrorOf(DecodeDatagram(bytes, kSecret)) != nullptr);
+}
+
+TEST(link, twoHubs_exchangeMessagesOfAnySize) {
+  boost::asio::io_context io;
+  Recorder a;
+  Recorder b;
+  LinkSettings settings;
+  settings.secret = kSecret;
+  LinkHub hub_a(io, settings, &a);
+  LinkHub hub_b(io, settings, &b);
+  std::string at_a = ValueOf(hub_a.Start())->Text();
+  std::string at_b = ValueOf(hub_b.Start())->Text();
+  hub_a.Send(at_b, 3, Request(1, 1000000));
+  hub_a.Send(at_b, 0, Request(2, 10));
+  RunUntil(io, [&] { return b.messages.size() == 2; });
+  // The short urgent one arrives first although it was sent second.
+  CHECK_EQUAL(2U, std::get<RunRequest>(b.messages[0]).attempt);
+  CHECK_EQUAL(1000000U, std::get<RunRequest>(b.messages[1]).body.size());
+  CHECK(b.from[0] == at_a);
+  hub_b.Send(at_a, 0, CancelRun{5});
+  RunUntil(io, [&] { return a.messages.size() == 1; });
+  CHECK_EQUAL(1U, hub_b.OpenLinks());
+}
+
+TEST(link, peerIsNotThere_messageIsReportedNotSent) {
+  boost::asio::io_context io;
+  Recorder a;
+  LinkSettings settings;
+  settings.secret = kSecret;
+  LinkHub hub(io, settings, &a);
+  hub.Start();
+  hub.Send("127.0.0.1:1", 0, Request(1, 10));
+  hub.Send("no address", 0, Request(2, 10));
+  RunUntil(io, [&] { return a.not_sent == 2; });
+}
+
+TEST(link, peerWithAnotherSecret_isNotHeard) {
+  boost::asio::io_context io;
+  Recorder a;
+  Recorder b;
+  LinkSettings settings;
+  settings.secret = kSecret;
+  LinkHub hub(io, settings, &a);
+  std::string at = ValueOf(hub.Start())->Text();
+  settings.secret = "another secret";
+  LinkHub stranger(io, settings, &b);
+  stranger.Start();
+  stranger.Send(at, 0, Request(1, 10));
+  RunUntil(io, [&] { return b.lost == 1; });
+  CHECK_EQUAL(0U, a.messages.size());
+  CHECK_EQUAL(1U,
+              hub.Counts().Get("link_refusals_total", "hello without proof"));
+}
+
+TEST(link, peerStops_linkIsReportedLost) {
+  boost::asio::io_context io;
+  Recorder a;
+  Recorder b;
+  LinkSettings settings;
+  settings.secret = kSecret;
+  LinkHub hub(io, settings, &a);
+  hub.Start();
+  auto other = std::make_unique<LinkHub>(io, settings, &b);
+  std::string at = ValueOf(other->Start())->Text();
+  hub.Send(at, 0, Request(1, 10));
+  RunUntil(io, [&] { return b.messages.size() == 1; });
+  other->Stop();
+  RunUntil(io, [&] { return a.lost == 1; });
+}
+
+TEST(link, gossipSocket_carriesDatagramsAndCountsForeignOnes) {
+  boost::asio::io_context io;
+  std::vector<Datagram> got;
+  GossipSocket a(io, kSecret, [](Datagram) {});
+  GossipSocket b(io, kSecret, [&](Datagram datagram) {
+    got.push_back(std::move(datagram));
+  });
+  GossipSocket stranger(io, "another secret", [](Datagram) {});
+  Endpoint any;
+  a.Start(any);
+  stranger.Start(any);
+  std::string at = ValueOf(b.Start(any))->Text();
+  Datagram datagram;
+  datagram.from = 9;
+  stranger.Send(at, datagram);
+  a.Send(at, datagram);
+  RunUntil(io, [&] { return got.size() == 1; });
+  CHECK_EQUAL(9U, got[0].from);
+  CHECK_EQUAL(1U, b.Counts().Get("datagram_refusals_total",
+                                 "datagram with a foreign seal"));
+}
