--- a/banyanloft/admission/gate.cc
+++ b/banyanloft/admission/gate.cc
@@ -274,14 +274,14 @@
     bool below_floor = window.running_sum * kFullLevel < floor * window.samples;
     bool ran_dry = window.least_waiting == 0 ||
                    (below_floor && window.least_waiting <= few);
-    if (ran_dry) {
-      // Slots of this rank may have gone unused: senders hold back too much.
+    bool flooded =
+        window.refused > few && window.refused * 5 > window.offered * 2;
+    bool calm = window.refused * 5 <= window.offered;
+    // A rank that runs dry may leave slots unused: senders hold back too much.
+    if (ran_dry || (calm && !flooded)) {
       level += kLevelStepUp;
-    } else if (window.refused > few &&
-               window.refused * 5 > window.offered * 2) {
+    } else if (flooded) {
       level = level * 4 / 5;
-    } else if (window.refused * 5 <= window.offered) {
-      level += kLevelStepUp;
     }
     levels_[i] =
         static_cast<int16_t>(std::clamp(level, kLowestLevel, kFullLevel));
--- a/banyanloft/config/json.h
+++ b/banyanloft/config/json.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 
 namespace banyanloft {
 
@@ -28,7 +29,7 @@
     return Fail(name, "a string"), std::string();
   }
   std::string StringOr(const char* name, std::string fallback) {
-    return Has(name) ? String(name) : fallback;
+    return Has(name) ? String(name) : std::move(fallback);
   }
   int64_t Int(const char* name) {
     const Json* value = Find(name);
--- a/banyanloft/daemon/daemon.cc
+++ b/banyanloft/daemon/daemon.cc
@@ -26,7 +26,6 @@
 constexpr int64_t kTickMs = 5;
 constexpr int64_t kCounterPeriodMs = 1000;
 constexpr int64_t kPlatformTimeoutMs = 2500;
-constexpr int64_t kExitDelayMs = 50;
 constexpr int64_t kBackendMinTimeoutMs = 10;
 /// Room of the rings between threads. Answers to callers and results of runs
 /// are bounded by the calls and runs in hand, which are fewer.
