Remove what nobody uses; name the threads

Cause: reading as a newcomer. A list of unsent tags, two flags and a time that were never read; threads without names in a debugger. Ruled out: splitting node.cc and membership.cc now, since each is one class whose parts share its state.

--- a/banyanloft/calls/target_runner.cc
+++ b/banyanloft/calls/target_runner.cc
@@ -241,8 +241,8 @@
   actions->push_back(SendRunAnswer{to, rank_index, std::move(answer)});
 }
 
-void TargetRunner::OnCancel(TimeMs now, const std::string& from_link,
-                            uint64_t attempt, Actions* actions) {
+void TargetRunner::OnCancel(const std::string& from_link, uint64_t attempt,
+                            Actions* actions) {
   // Keyed work goes on: other copies may wait for it, and its outcome is kept.
   auto found = work_by_attempt_.find({from_link, attempt});
   if (found == work_by_attempt_.end()) return;
@@ -255,7 +255,6 @@
   gate_.Withdraw(id);
   work_by_attempt_.erase(found);
   works_.erase(id);
-  (void)now;
 }
 
 KeyAnswer TargetRunner::OnKeyRequest(TimeMs now, const KeyRequest& request) {
--- a/banyanloft/calls/target_runner.h
+++ b/banyanloft/calls/target_runner.h
@@ -104,7 +104,7 @@
   void OnRun(TimeMs now, const std::string& from_link, RunRequest request,
              Actions* actions);
   /// An attempt is withdrawn.
-  void OnCancel(TimeMs now, const std::string& from_link, uint64_t attempt,
+  void OnCancel(const std::string& from_link, uint64_t attempt,
                 Actions* actions);
   /// A key is asked for.
   KeyAnswer OnKeyRequest(TimeMs now, const KeyRequest& request);
--- a/banyanloft/core/duty.h
+++ b/banyanloft/core/duty.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <pthread.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -16,6 +18,7 @@
 /// One duty of a process: an event loop and the thread that runs it.
 class Duty {
  public:
+  /// `name` (at most 15 bytes) is that of the thread.
   explicit Duty(std::string name)
       : name_(std::move(name)), work_(io_.get_executor()) {}
   ~Duty() { Stop(); }
@@ -26,7 +29,10 @@
   boost::asio::io_context& Io() { return io_; }
   /// Starts the thread. Call once.
   void Start() {
-    thread_ = std::thread([this] { io_.run(); });
+    thread_ = std::thread([this] {
+      pthread_setname_np(pthread_self(), name_.c_str());
+      io_.run();
+    });
   }
   /// Ends the loop and joins the thread. Not to be called on the duty's own
   /// thread.
--- a/banyanloft/daemon/node.cc
+++ b/banyanloft/daemon/node.cc
@@ -106,7 +106,7 @@
       Overloaded{
           [&](RunRequest& m) { runner_.OnRun(now, link, std::move(m), &runs); },
           [&](RunAnswer& m) { dispatcher_.OnRunAnswer(now, m, &calls); },
-          [&](CancelRun& m) { runner_.OnCancel(now, link, m.attempt, &runs); },
+          [&](CancelRun& m) { runner_.OnCancel(link, m.attempt, &runs); },
           [&](KeyRequest& m) {
             actions->push_back(SendPeer{link, 0, runner_.OnKeyRequest(now, m)});
           },
@@ -462,7 +462,7 @@
         continue;
       }
       TargetRunner::Actions runs;
-      runner_.OnCancel(now, "", cancel->cancel.attempt, &runs);
+      runner_.OnCancel("", cancel->cancel.attempt, &runs);
       CarryRunner(now, std::move(runs), actions);
     } else if (auto* request = std::get_if<SendKeyRequest>(&action)) {
       if (request->target != id_) {
--- a/banyanloft/http/http_client.cc
+++ b/banyanloft/http/http_client.cc
@@ -77,7 +77,7 @@
 
   void Connect(Job job) {
     job_ = std::move(job);
-    fresh_ = true;
+
     auto limit =
         std::chrono::steady_clock::now() +
         std::chrono::milliseconds(client_->settings_.connect_timeout_ms);
@@ -93,7 +93,7 @@
 
   void Start(Job job) {
     job_ = std::move(job);
-    fresh_ = false;
+
     Write();
   }
 
@@ -200,7 +200,7 @@
   std::optional<bhttp::response_parser<bhttp::string_body>> parser_;
   std::optional<Job> job_;
   SteadyTime idle_since_;
-  bool fresh_ = true;
+
   bool cancelled_ = false;
 };
 
--- a/banyanloft/links/frame.cc
+++ b/banyanloft/links/frame.cc
@@ -62,16 +62,6 @@
   return std::nullopt;
 }
 
-std::vector<uint64_t> FrameScheduler::UnsentTags() const {
-  std::vector<uint64_t> tags;
-  for (const std::deque<Stream>& streams : ranks_) {
-    for (const Stream& stream : streams) {
-      if (stream.sent == 0) tags.push_back(stream.tag);
-    }
-  }
-  return tags;
-}
-
 Result<std::optional<std::string>> FrameAssembler::Push(
     const std::string& frame) {
   if (frame.size() <= kHeaderBytes || (frame[0] & ~kLastFrame) != 0) {
--- a/banyanloft/links/frame.h
+++ b/banyanloft/links/frame.h
@@ -38,8 +38,7 @@
   /// The next frame to send; empty if none waits. `started_tag` is set to the
   /// tag of a message whose first frame this is.
   std::optional<std::string> Pop(std::optional<uint64_t>* started_tag);
-  /// Tags of the queued messages none of whose frames were handed out.
-  std::vector<uint64_t> UnsentTags() const;
+
   bool Empty() const { return queued_bytes_ == 0; }
   size_t QueuedBytes() const { return queued_bytes_; }
 
--- a/banyanloft/links/link_hub.cc
+++ b/banyanloft/links/link_hub.cc
@@ -64,7 +64,7 @@
     std::string nonce;  ///< Challenge sent to whoever connected.
     bool outbound = false;
     bool open = false;  ///< Messages may be sent.
-    bool used = false;  ///< Something was sent since it opened.
+
     FrameScheduler out;
     FrameAssembler in;
     std::map<uint64_t, PeerMessage> unsent;
@@ -326,7 +326,7 @@
       link->unsent.erase(*started);
       counters_.Add("link_messages_total", "sent");
     }
-    link->used = true;
+
     link->last_use = std::chrono::steady_clock::now();
     counters_.Add("link_bytes_total", "sent", frame->size());
   }
--- a/tests/call_test.cc
+++ b/tests/call_test.cc
@@ -336,7 +336,6 @@
   StartFleet(4);
   uint64_t number = fleet_->Call(0, Request("post", "x"));
   fleet_->Run(20);
-  fleet_->Mutable(0);
   Node::Actions actions;
   fleet_->Mutable(0).OnAbandoned(fleet_->Now(), number, &actions);
   bool cancelled = false;
