Spread the first watches of a cold start

At the end of that window all daemons, each alone in its own view, became watching members in the same instant and read and wrote the head, bundle, rendezvous and status objects. Change: each draws when it may first watch, over twice the window, so that the first to watch are met by the rest. Ruled out: not watching while alone (the first daemon of a fleet must). A longer window was not tried.

--- a/banyanloft/daemon/node.cc
+++ b/banyanloft/daemon/node.cc
@@ -21,7 +21,8 @@
   kDistributor,
   kRendezvous,
   kDispatcher,
-  kRunner
+  kRunner,
+  kWatchDelay
 };
 
 uint64_t SeedOf(uint64_t seed, SeedStream stream) {
@@ -48,6 +49,14 @@
   return settings;
 }
 
+/// Time before a new daemon may watch. Spread over twice the window, so that in
+/// a cold start, where all are lonely, the first to watch are met by the rest.
+int64_t WatchDelayMs(const NodeSettings& settings) {
+  uint64_t spread = 2 * static_cast<uint64_t>(settings.start_window_ms) + 1;
+  uint64_t draw = SeedOf(settings.seed, SeedStream::kWatchDelay) % spread;
+  return settings.start_window_ms + static_cast<int64_t>(draw);
+}
+
 template <typename... Handlers>
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
@@ -61,6 +70,7 @@
     : settings_(settings),
       id_(id),
       start_(now),
+      watch_from_(now + WatchDelayMs(settings)),
       membership_(settings.membership, SelfRecord(settings, id),
                   SeedOf(settings.seed, SeedStream::kMembership), now, this),
       distributor_(WithWindow(settings.distributor, settings.start_window_ms),
@@ -393,8 +403,7 @@
 /// too many or a slower notice, never a wrong configuration.
 bool Node::Watching(TimeMs now) const {
   // While the fleet starts, everyone is the first of a zone in its own view.
-  if (now - start_ < settings_.start_window_ms || !membership_.Quiet(now))
-    return false;
+  if (now < watch_from_ || !membership_.Quiet(now)) return false;
   std::vector<MemberId> first =
       membership_.FirstOfZone(settings_.zone, settings_.watchers_per_zone);
   return std::find(first.begin(), first.end(), id_) != first.end();
--- a/banyanloft/daemon/node.h
+++ b/banyanloft/daemon/node.h
@@ -138,6 +138,7 @@
   NodeSettings settings_;
   MemberId id_;
   TimeMs start_;
+  TimeMs watch_from_;
   Membership membership_;
   Distributor distributor_;
   Rendezvous rendezvous_;
