--- a/banyanloft/calls/call_dispatcher.cc
+++ b/banyanloft/calls/call_dispatcher.cc
@@ -257,7 +257,7 @@
   }
   answer.outcome = std::move(outcome);
   answer.retried = call.retried;
-  answer.target = call.target != 0 ? fmt::format("{:016x}", call.target) : "";
+  answer.target = call.target != 0 ? MemberName(call.target) : "";
   answer.version = call.snapshot ? call.snapshot->Version() : 0;
   actions->push_back(ReplyCall{id, std::move(answer)});
   calls_.erase(it);
@@ -442,8 +442,7 @@
   TargetPicker& picker = PickerOf(now, *service);
   PickResult pick =
       picker.Pick(now, snapshot_->Config().RankIndex(route->rank), {});
-  std::string chosen =
-      pick.target ? fmt::format("{:016x}", *pick.target) : "none";
+  std::string chosen = pick.target ? MemberName(*pick.target) : "none";
   return fmt::format(
       "name '{}' is route '{}' of service '{}' in version {}; rank {}; {} "
       "targets, {} ejected; "
--- a/banyanloft/core/error.cc
+++ b/banyanloft/core/error.cc
@@ -71,6 +71,8 @@
      H::kLater, "the platform did not answer"},
     {K::kConflict, "conflict", 409, S::kNotRun, H::kNo,
      "another change was accepted first"},
+    {K::kHistoryLost, "history_lost", 410, S::kNotRun, H::kLater,
+     "the platform no longer keeps the history asked for"},
     {K::kInvalidConfiguration, "invalid_configuration", 422, S::kNotRun, H::kNo,
      "the configuration breaks a rule"},
     {K::kProtocolError, "protocol_error", 502, S::kUnknown, H::kNo,
--- a/banyanloft/core/error.h
+++ b/banyanloft/core/error.h
@@ -56,6 +56,7 @@
   kCancelled,
   kPlatformUnavailable,
   kConflict,
+  kHistoryLost,
   kInvalidConfiguration,
   kProtocolError,
 };
--- a/banyanloft/daemon/daemon.cc
+++ b/banyanloft/daemon/daemon.cc
@@ -18,7 +18,7 @@
 #include "banyanloft/http/http_server.h"
 #include "banyanloft/links/gossip_socket.h"
 #include "banyanloft/links/link_hub.h"
-#include "banyanloft/platform/http_codec.h"
+#include "banyanloft/store/http_codec.h"
 
 namespace banyanloft {
 namespace {
@@ -386,7 +386,7 @@
        {&decisions_, &callers_, &peers_, &backend_, &platform_, &admin_})
     duty->Start();
   Log(LogLevel::kInfo, "daemon_started",
-      {{"member", fmt::format("{:016x}", id)},
+      {{"member", MemberName(id)},
        {"zone", settings_.node.zone},
        {"caller", addresses.caller.Text()},
        {"link", addresses.link.Text()},
--- a/banyanloft/daemon/node.cc
+++ b/banyanloft/daemon/node.cc
@@ -49,14 +49,6 @@
   return settings;
 }
 
-/// Time before a new daemon may watch. Spread over twice the window, so that in
-/// a cold start, where all are lonely, the first to watch are met by the rest.
-int64_t WatchDelayMs(const NodeSettings& settings) {
-  uint64_t spread = 2 * static_cast<uint64_t>(settings.start_window_ms) + 1;
-  uint64_t draw = SeedOf(settings.seed, SeedStream::kWatchDelay) % spread;
-  return settings.start_window_ms + static_cast<int64_t>(draw);
-}
-
 template <typename... Handlers>
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
@@ -70,7 +62,9 @@
     : settings_(settings),
       id_(id),
       start_(now),
-      watch_from_(now + WatchDelayMs(settings)),
+      watch_from_(now +
+                  WatchDelayMs(settings.start_window_ms,
+                               SeedOf(settings.seed, SeedStream::kWatchDelay))),
       membership_(settings.membership, SelfRecord(settings, id),
                   SeedOf(settings.seed, SeedStream::kMembership), now, this),
       distributor_(WithWindow(settings.distributor, settings.start_window_ms),
@@ -129,6 +123,8 @@
           [&](PullReply& m) {
             distributor_.OnPullReply(now, link, m, &changes);
           },
+          // Messages of forwarding daemons, which form fleets of their own.
+          [&](auto&) { counters_.Add("peer_messages_dropped_total"); },
       },
       message);
   CarryDispatcher(now, std::move(calls), actions);
@@ -323,8 +319,9 @@
 
 void Node::TickPlatform(TimeMs now, bool watching, Actions* actions) {
   Distributor::Actions changes;
-  distributor_.Tick(now, watching, SomePeers(4, 4), membership_.AliveCount(),
-                    &changes);
+  distributor_.Tick(now, watching,
+                    SomePeers(&membership_, settings_.zone, 4, 4),
+                    membership_.AliveCount(), &changes);
   CarryDistributor(now, std::move(changes), actions);
 
   if (rendezvous_read_ != 0 &&
@@ -373,16 +370,9 @@
 }
 
 void Node::WriteRendezvous(bool watching, Actions* actions) {
-  std::vector<std::string> live;
-  std::vector<std::string> dead;
-  for (const auto& [id, member] : membership_.Others()) {
-    if (member.zone != settings_.zone) continue;
-    bool gone = member.state == MemberState::kGone ||
-                member.health == MemberHealth::kUnreachable;
-    (gone ? dead : live).push_back(member.gossip);
-  }
+  ZoneAddresses zone = AddressesOfZone(membership_, settings_.zone);
   std::optional<Rendezvous::Write> write =
-      rendezvous_.WriteDue(watching, live, dead);
+      rendezvous_.WriteDue(watching, zone.live, zone.dead);
   if (!write) return;
   PlatformCall call;
   call.type = PlatformCall::Type::kWrite;
@@ -399,29 +389,11 @@
   return id;
 }
 
-/// Chosen from the local view without a lease: a wrong view costs one watch
-/// too many or a slower notice, never a wrong configuration.
 bool Node::Watching(TimeMs now) const {
   // While the fleet starts, everyone is the first of a zone in its own view.
   if (now < watch_from_ || !membership_.Quiet(now)) return false;
-  std::vector<MemberId> first =
-      membership_.FirstOfZone(settings_.zone, settings_.watchers_per_zone);
-  return std::find(first.begin(), first.end(), id_) != first.end();
-}
-
-std::vector<Peer> Node::SomePeers(size_t near, size_t any) {
-  std::vector<Peer> peers;
-  auto add = [&](const std::vector<const MemberRecord*>& members) {
-    for (const MemberRecord* member : members) {
-      bool known = std::any_of(
-          peers.begin(), peers.end(),
-          [&](const Peer& peer) { return peer.link == member->link; });
-      if (!known) peers.push_back({member->link, member->gossip, member->zone});
-    }
-  };
-  add(membership_.RandomAlive(near, settings_.zone));
-  add(membership_.RandomAlive(any));
-  return peers;
+  return WatchesForZone(membership_, settings_.zone, id_,
+                        settings_.watchers_per_zone);
 }
 
 void Node::ReportInForce(Actions* actions) {
@@ -598,7 +570,7 @@
 std::string Node::StatusJson(TimeMs now) const {
   Json members = Json::array();
   auto add = [&](const MemberRecord& member) {
-    members.push_back({{"id", fmt::format("{:016x}", member.id)},
+    members.push_back({{"id", MemberName(member.id)},
                        {"zone", member.zone},
                        {"service", member.service},
                        {"link", member.link},
@@ -611,7 +583,7 @@
   Json levels = Json::array();
   for (int16_t level : runner_.GateState().Levels()) levels.push_back(level);
   Json status = {
-      {"id", fmt::format("{:016x}", id_)},
+      {"id", MemberName(id_)},
       {"zone", settings_.zone},
       {"ready", Ready()},
       {"draining", draining_},
--- a/banyanloft/daemon/node.h
+++ b/banyanloft/daemon/node.h
@@ -9,12 +9,14 @@
 
 #include "banyanloft/calls/call_dispatcher.h"
 #include "banyanloft/calls/target_runner.h"
+#include "banyanloft/daemon/node_actions.h"
 #include "banyanloft/distribution/distributor.h"
 #include "banyanloft/distribution/zone_status.h"
 #include "banyanloft/links/peer_message.h"
+#include "banyanloft/membership/fleet_choice.h"
 #include "banyanloft/membership/membership.h"
 #include "banyanloft/membership/rendezvous.h"
-#include "banyanloft/platform/platform_message.h"
+#include "banyanloft/store/platform_message.h"
 
 namespace banyanloft {
 
@@ -48,19 +50,6 @@
   std::string boot_id;  ///< Drawn anew at each start.
 };
 
-/// Sends a message over the link to a peer.
-struct SendPeer {
-  std::string link;
-  int rank_index = 0;  ///< Orders messages on the link; 0 is sent first.
-  PeerMessage message;
-};
-/// Sends a datagram.
-struct SendDatagram {
-  std::string to;
-  Datagram datagram;
-};
-/// Everything that was in hand is finished: the process may end.
-struct ReadyToExit {};
 using NodeAction =
     std::variant<ReplyCall, ReplyKey, SendPeer, SendDatagram, PlatformCall,
                  StartBackend, CancelBackend, ProbeBackend, ReadyToExit>;
@@ -128,7 +117,6 @@
   void Adopt(TimeMs now, const SnapshotPtr& snapshot, Actions* actions);
   void UpdateStanding(TimeMs now, Actions* actions);
   bool Watching(TimeMs now) const;
-  std::vector<Peer> SomePeers(size_t near, size_t any);
   void ReportInForce(Actions* actions);
   void TickPlatform(TimeMs now, bool watching, Actions* actions);
   void WriteRendezvous(bool watching, Actions* actions);
--- a/banyanloft/distribution/distributor.h
+++ b/banyanloft/distribution/distributor.h
@@ -14,6 +14,7 @@
 #include "banyanloft/core/random.h"
 #include "banyanloft/core/time.h"
 #include "banyanloft/distribution/head.h"
+#include "banyanloft/membership/fleet_choice.h"
 
 namespace banyanloft {
 
@@ -45,13 +46,6 @@
   size_t manifests_kept = 32;  ///< Manifests kept to answer with differences.
 };
 
-/// A live peer, as membership knows it.
-struct Peer {
-  std::string link;
-  std::string gossip;
-  std::string zone;
-};
-
 /// Asks a peer for its configuration, if newer than the asker's.
 struct PullRequest {
   uint64_t have_version = 0;
--- a/banyanloft/http/http_client.cc
+++ b/banyanloft/http/http_client.cc
@@ -2,12 +2,15 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <deque>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -18,6 +21,10 @@
 namespace beast = boost::beast;
 namespace bhttp = boost::beast::http;
 using Tcp = asio::ip::tcp;
+/// Bodies up to this size fit the socket's buffers: they are written before the
+/// answer is read.
+constexpr size_t kConcurrentReadBytes = 16 * 1024;
+
 using SteadyTime = std::chrono::steady_clock::time_point;
 
 }  // namespace
@@ -32,8 +39,8 @@
                       settings_.server.port);
   }
 
-  void Send(uint64_t id, HttpRequest request, int64_t timeout_ms,
-            Callback done);
+  void Send(uint64_t id, HttpRequest request, int64_t timeout_ms, Callback done,
+            Belongs belongs);
   void Cancel(uint64_t id);
   void Probe(std::function<void(bool)> done);
   void Close();
@@ -45,6 +52,7 @@
     HttpRequest request;
     SteadyTime deadline;
     Callback done;
+    Belongs belongs;
   };
 
   void Assign(Job job);
@@ -113,7 +121,11 @@
     beast::error_code ignored;
     stream_.socket().close(ignored);
   }
-  SteadyTime IdleSince() const { return idle_since_; }
+  /// Whether it has been unused for longer than the server allows.
+  bool Stale() const {
+    return std::chrono::steady_clock::now() - idle_since_ >=
+           std::chrono::milliseconds(idle_limit_ms_);
+  }
 
  private:
   void Write() {
@@ -124,26 +136,45 @@
     message_->method_string(request.method);
     message_->target(request.target);
     message_->set(bhttp::field::host, client_->settings_.server.Text());
-    for (const auto& [name, value] : request.headers)
-      message_->set(name, value);
+    for (const auto& [name, value] : request.headers) {
+      if (bhttp::string_to_field(name) == bhttp::field::host) {
+        message_->set(bhttp::field::host, value);
+      } else {
+        message_->insert(name, value);
+      }
+    }
     message_->body() = request.body;
     message_->prepare_payload();
+    PrepareParser();
+    stream_.expires_at(job_->deadline);
+    written_ = false;
+    bool long_body = request.body.size() > kConcurrentReadBytes;
+    bhttp::async_write(stream_, *message_,
+                       [self = shared_from_this(), long_body](
+                           beast::error_code error, size_t bytes) {
+                         if (!self->job_) return;
+                         if (error) {
+                           return self->Finish(bytes == 0
+                                                   ? HttpFailure::kNotSent
+                                                   : self->Reason(error));
+                         }
+                         self->written_ = true;
+                         if (!long_body) self->ReadAnswer();
+                       });
+    // A server may answer a long body before it has read it, and read no more.
+    if (long_body) ReadAnswer();
+  }
+
+  void PrepareParser() {
     parser_.emplace();
     parser_->body_limit(client_->settings_.max_body_bytes);
-    stream_.expires_at(job_->deadline);
-    bhttp::async_write(
-        stream_, *message_,
-        [self = shared_from_this()](beast::error_code error, size_t bytes) {
-          if (!error) return self->ReadAnswer();
-          self->Finish(bytes == 0 ? HttpFailure::kNotSent
-                                  : self->Reason(error));
-        });
   }
 
   void ReadAnswer() {
     bhttp::async_read(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](beast::error_code error, size_t) {
+          if (!self->job_) return;
           if (error) return self->Finish(self->Reason(error));
           self->Deliver();
         });
@@ -157,6 +188,7 @@
   }
 
   void Deliver() {
+    bool unframed = parser_->need_eof();
     bhttp::response<bhttp::string_body> message = parser_->release();
     HttpOutcome outcome;
     outcome.response.status = static_cast<int>(message.result_int());
@@ -167,11 +199,21 @@
                                             std::string(field.value()));
     }
     outcome.response.body = std::move(message.body());
+    if (job_->belongs && !job_->belongs(outcome.response)) {
+      poisoned_ = true;
+      if (unframed) return Finish(HttpFailure::kBroken);
+      PrepareParser();
+      return ReadAnswer();
+    }
+
     Job job = std::move(*job_);
     job_.reset();
     client_->busy_.erase(job.id);
-    bool stays = message.keep_alive() && !cancelled_;
+    // Bytes beyond the answer belong to no request.
+    bool stays = message.keep_alive() && !unframed && !cancelled_ &&
+                 !poisoned_ && written_ && buffer_.size() == 0;
     if (stays) {
+      idle_limit_ms_ = IdleLimitMs(message[bhttp::field::keep_alive]);
       idle_since_ = std::chrono::steady_clock::now();
       stream_.expires_never();
       client_->OnIdle(shared_from_this());
@@ -182,6 +224,22 @@
     job.done(std::move(outcome));
   }
 
+  /// Time for which the connection may stay unused: as settings say, or less if
+  /// the server states less (`timeout=SECONDS`), with a second to spare.
+  int64_t IdleLimitMs(beast::string_view keep_alive) const {
+    int64_t limit_ms = client_->settings_.idle_timeout_ms;
+    constexpr std::string_view kName = "timeout=";
+    std::string_view text(keep_alive.data(), keep_alive.size());
+    size_t at = text.find(kName);
+    if (at == std::string_view::npos) return limit_ms;
+    int64_t stated_s = 0;
+    const char* first = text.data() + at + kName.size();
+    auto [end, error] =
+        std::from_chars(first, text.data() + text.size(), stated_s);
+    if (error != std::errc()) return limit_ms;
+    return std::min(limit_ms, std::max<int64_t>(0, (stated_s - 1) * 1000));
+  }
+
   void Finish(HttpFailure failure) {
     if (!job_) return;
     Shut();
@@ -200,18 +258,22 @@
   std::optional<bhttp::response_parser<bhttp::string_body>> parser_;
   std::optional<Job> job_;
   SteadyTime idle_since_;
-
+  int64_t idle_limit_ms_ = 0;
+  bool written_ = false;   ///< The whole request was handed to the kernel.
+  bool poisoned_ = false;  ///< Carried an answer that belongs to no request.
   bool cancelled_ = false;
 };
 
 void HttpClient::Impl::Send(uint64_t id, HttpRequest request,
-                            int64_t timeout_ms, Callback done) {
+                            int64_t timeout_ms, Callback done,
+                            Belongs belongs) {
   Job job;
   job.id = id;
   job.request = std::move(request);
   job.deadline =
       std::chrono::steady_clock::now() + std::chrono::milliseconds(timeout_ms);
   job.done = std::move(done);
+  job.belongs = std::move(belongs);
   Assign(std::move(job));
 }
 
@@ -234,13 +296,10 @@
 
 /// The most recently used connection that the server has not closed.
 std::shared_ptr<HttpClient::Impl::Connection> HttpClient::Impl::TakeIdle() {
-  auto limit = std::chrono::steady_clock::now() -
-               std::chrono::milliseconds(settings_.idle_timeout_ms);
   while (!idle_.empty()) {
     std::shared_ptr<Connection> connection = std::move(idle_.back());
     idle_.pop_back();
-    if (connection->IdleSince() > limit && connection->Alive())
-      return connection;
+    if (!connection->Stale() && connection->Alive()) return connection;
     connection->Shut();
     --open_;
   }
@@ -305,8 +364,9 @@
 HttpClient::~HttpClient() { impl_->Close(); }
 
 void HttpClient::Send(uint64_t id, HttpRequest request, int64_t timeout_ms,
-                      Callback done) {
-  impl_->Send(id, std::move(request), timeout_ms, std::move(done));
+                      Callback done, Belongs belongs) {
+  impl_->Send(id, std::move(request), timeout_ms, std::move(done),
+              std::move(belongs));
 }
 void HttpClient::Cancel(uint64_t id) { impl_->Cancel(id); }
 void HttpClient::Probe(std::function<void(bool)> done) {
--- a/banyanloft/http/http_client.h
+++ b/banyanloft/http/http_client.h
@@ -18,7 +18,8 @@
   size_t max_waiting = 1000;          ///< Requests that wait for a connection.
   int64_t connect_timeout_ms = 1000;  ///< Longest time to connect, in ms.
   int64_t idle_timeout_ms =
-      30000;  ///< Unused connections are closed after this time, in ms.
+      30000;  ///< Unused connections are closed after this time, in ms; sooner
+              ///< if the server states a shorter one.
   size_t max_body_bytes = 4 * 1024 * 1024;  ///< Longest answer body, in bytes.
 };
 
@@ -42,6 +43,9 @@
 class HttpClient {
  public:
   using Callback = std::function<void(HttpOutcome)>;
+  /// Whether an answer belongs to the request. One that does not is skipped and
+  /// its connection is not used again.
+  using Belongs = std::function<bool(const HttpResponse&)>;
 
   HttpClient(boost::asio::io_context& io, const HttpClientSettings& settings);
   ~HttpClient();
@@ -50,8 +54,8 @@
 
   /// Sends a request; `done` is called exactly once, unless the client is
   /// destroyed before. `id` names the request for Cancel.
-  void Send(uint64_t id, HttpRequest request, int64_t timeout_ms,
-            Callback done);
+  void Send(uint64_t id, HttpRequest request, int64_t timeout_ms, Callback done,
+            Belongs belongs = nullptr);
   /// Cancels a request; its callback is told kCancelled.
   void Cancel(uint64_t id);
   /// Tries to connect; tells whether the server took the connection.
--- a/banyanloft/http/http_message.h
+++ b/banyanloft/http/http_message.h
@@ -20,13 +20,14 @@
   std::string target = "/";  ///< Path and query.
   HttpHeaders headers;
   std::string body;
+  std::string from_ip;  ///< With a received request: address of its sender.
 };
 
 /// An answer as received or to be sent.
 struct HttpResponse {
   int status = 200;
   HttpHeaders headers;
-  std::string content_type = "text/plain";
+  std::string content_type = "text/plain";  ///< Empty: as in `headers`.
   std::string body;
 };
 
--- a/banyanloft/http/http_server.cc
+++ b/banyanloft/http/http_server.cc
@@ -29,6 +29,8 @@
   Result<Endpoint> Start();
   void Reply(uint64_t id, HttpResponse response);
   void StopAccepting();
+  void EndConnections() { ending_ = true; }
+  void SetLimits(const HttpServerSettings& settings);
   void Close();
 
  private:
@@ -42,6 +44,7 @@
   Tcp::acceptor acceptor_;
   uint64_t next_request_ = 1;
   bool stopping_ = false;
+  bool ending_ = false;  ///< Connections end with their next answer.
   std::unordered_map<uint64_t, std::shared_ptr<Session>> waiting_;
   std::unordered_map<Session*, std::weak_ptr<Session>> sessions_;
 };
@@ -87,13 +90,17 @@
     if (finished_) return;
     request_id_ = 0;
     probe_.cancel();
+    beast::error_code ignored;
+    stream_.socket().cancel(ignored);
     response_.emplace();
     response_->version(11);
     response_->result(static_cast<unsigned>(response.status));
-    response_->set(bhttp::field::content_type, response.content_type);
+    if (!response.content_type.empty())
+      response_->set(bhttp::field::content_type, response.content_type);
     for (const auto& [name, value] : response.headers)
-      response_->set(name, value);
-    response_->keep_alive(keep_alive && keep_alive_ && !server_->stopping_);
+      response_->insert(name, value);
+    response_->keep_alive(keep_alive && keep_alive_ && !server_->stopping_ &&
+                          !server_->ending_);
     response_->body() = std::move(response.body);
     response_->prepare_payload();
     stream_.expires_after(
@@ -113,17 +120,27 @@
 
  private:
   static constexpr size_t kFirstReadBytes = 4096;
-  static constexpr int64_t kProbePeriodMs = 20;
+  static constexpr int64_t kProbePeriodMs = 100;
   static constexpr int64_t kLingerMs = 1000;
 
   void ReadRequest() {
     stream_.expires_never();
     reading_ = true;
-    probe_.expires_after(
-        std::chrono::milliseconds(server_->settings_.read_timeout_ms));
-    probe_.async_wait([self = shared_from_this()](beast::error_code error) {
-      if (!error && self->reading_) self->Refuse(ErrorKind::kSlowRequest);
-    });
+    BoundRead(std::min(server_->settings_.head_timeout_ms,
+                       server_->settings_.read_timeout_ms));
+    read_pending_ = true;
+    bhttp::async_read_header(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](beast::error_code error, size_t) {
+          self->read_pending_ = false;
+          bool whole = self->parser_->is_done();
+          if (error || whole || !self->reading_) return self->OnRead(error);
+          self->ReadBody();
+        });
+  }
+
+  void ReadBody() {
+    BoundRead(server_->settings_.read_timeout_ms);
     read_pending_ = true;
     bhttp::async_read(
         stream_, buffer_, *parser_,
@@ -133,6 +150,13 @@
         });
   }
 
+  void BoundRead(int64_t timeout_ms) {
+    probe_.expires_after(std::chrono::milliseconds(timeout_ms));
+    probe_.async_wait([self = shared_from_this()](beast::error_code error) {
+      if (!error && self->reading_) self->Refuse(ErrorKind::kSlowRequest);
+    });
+  }
+
   void OnRead(beast::error_code error) {
     if (!reading_) return;
     reading_ = false;
@@ -166,6 +190,9 @@
                                    std::string(field.value()));
     }
     request.body = std::move(message.body());
+    beast::error_code ignored;
+    request.from_ip =
+        stream_.socket().remote_endpoint(ignored).address().to_string();
 
     stream_.expires_never();
     request_id_ = server_->next_request_++;
@@ -174,25 +201,40 @@
     server_->handler_->OnRequest(request_id_, std::move(request));
   }
 
-  /// While the answer is awaited, looks now and then whether the client left.
+  /// While the answer is awaited, notices that the client left.
   void WatchClient() {
+    uint64_t watched = request_id_;
+    stream_.socket().async_wait(
+        Tcp::socket::wait_read,
+        [self = shared_from_this(), watched](beast::error_code error) {
+          bool current = watched != 0 && self->request_id_ == watched;
+          if (!error && current) self->LookAtClient();
+        });
+  }
+
+  /// Bytes of a next request may be there: then only looking again and again
+  /// shows whether the client left.
+  void LookAtClient() {
+    char byte = 0;
+    ssize_t got = recv(stream_.socket().native_handle(), &byte, 1,
+                       MSG_PEEK | MSG_DONTWAIT);
+    bool left =
+        got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    if (left) return OnClientLeft();
     probe_.expires_after(std::chrono::milliseconds(kProbePeriodMs));
     probe_.async_wait([self = shared_from_this()](beast::error_code error) {
-      if (error || self->request_id_ == 0) return;
-      char byte = 0;
-      ssize_t got = recv(self->stream_.socket().native_handle(), &byte, 1,
-                         MSG_PEEK | MSG_DONTWAIT);
-      bool left =
-          got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-      if (!left) return self->WatchClient();
-      uint64_t id = self->request_id_;
-      self->request_id_ = 0;
-      self->finished_ = true;
-      self->server_->waiting_.erase(id);
-      self->server_->handler_->OnAbandoned(id);
+      if (!error && self->request_id_ != 0) self->LookAtClient();
     });
   }
 
+  void OnClientLeft() {
+    uint64_t id = request_id_;
+    request_id_ = 0;
+    finished_ = true;
+    server_->waiting_.erase(id);
+    server_->handler_->OnAbandoned(id);
+  }
+
   void OnWritten(beast::error_code error) {
     if (error) return;
     if (!response_->need_eof()) return Read();
@@ -282,6 +324,14 @@
   acceptor_.close(ignored);
 }
 
+void HttpServer::Impl::SetLimits(const HttpServerSettings& settings) {
+  HttpServerSettings next = settings;
+  next.listen = settings_.listen;
+  next.max_connections = settings_.max_connections;
+  next.new_connection_ms = settings_.new_connection_ms;
+  settings_ = next;
+}
+
 void HttpServer::Impl::Close() {
   StopAccepting();
   waiting_.clear();
@@ -304,5 +354,9 @@
   impl_->Reply(id, std::move(response));
 }
 void HttpServer::StopAccepting() { impl_->StopAccepting(); }
+void HttpServer::EndConnections() { impl_->EndConnections(); }
+void HttpServer::SetLimits(const HttpServerSettings& settings) {
+  impl_->SetLimits(settings);
+}
 
 }  // namespace banyanloft
--- a/banyanloft/http/http_server.h
+++ b/banyanloft/http/http_server.h
@@ -15,6 +15,8 @@
   Endpoint listen;                      ///< Port 0: any free one.
   size_t max_head_bytes = 8 * 1024;     ///< Longest request head, in bytes.
   size_t max_body_bytes = 1024 * 1024;  ///< Longest request body, in bytes.
+  int64_t head_timeout_ms =
+      5000;  ///< Longest time for the head of a request to arrive, in ms.
   int64_t read_timeout_ms =
       5000;  ///< Longest time for one request to arrive, in ms.
   int64_t idle_timeout_ms = 60000;  ///< Longest time between requests, in ms.
@@ -55,6 +57,11 @@
   void Reply(uint64_t id, HttpResponse response);
   /// Takes no new connections; those open end with their next answer.
   void StopAccepting();
+  /// From now on connections end with their next answer; new ones are taken.
+  void EndConnections();
+  /// Bounds for requests read from now on. `listen`, `max_connections` and
+  /// `new_connection_ms` stay as they were.
+  void SetLimits(const HttpServerSettings& settings);
 
  private:
   class Impl;
--- a/banyanloft/links/link_hub.cc
+++ b/banyanloft/links/link_hub.cc
@@ -20,7 +20,7 @@
 using Handle = websocketpp::connection_hdl;
 using ErrorCode = websocketpp::lib::error_code;
 
-constexpr int64_t kHousekeepingMs = 1000;
+constexpr int64_t kHousekeepingMs = 100;
 constexpr int64_t kPumpRetryMs = 1;
 constexpr size_t kFrameOverheadBytes = 64;
 
@@ -51,6 +51,7 @@
 
   Result<Endpoint> Start();
   void Send(const std::string& link, int rank_index, PeerMessage message);
+  void DropAll();
   void Stop();
   const Counters& Counts() const { return counters_; }
   size_t OpenLinks() const { return by_handle_.size(); }
@@ -71,8 +72,13 @@
     std::function<ErrorCode(const std::string&)> write;
     std::function<size_t()> buffered;
     std::function<void()> close;
+    std::function<void()> terminate;  ///< Closes without a farewell.
+    std::function<void()> ping;
     std::unique_ptr<asio::steady_timer> pump_timer;
     std::chrono::steady_clock::time_point last_use;
+    std::chrono::steady_clock::time_point last_heard;
+    std::chrono::steady_clock::time_point pinged;
+    bool ping_out = false;  ///< Nothing was heard since the last ping.
     std::chrono::steady_clock::time_point opened;
   };
   using LinkPtr = std::shared_ptr<Link>;
@@ -88,6 +94,9 @@
   void OnChallenge(const LinkPtr& link, const std::string& payload);
   void OnHello(const LinkPtr& link, const std::string& payload);
   void OnEnded(Handle handle);
+  void OnHeard(Link* link);
+  void CheckLiveness(const LinkPtr& link);
+  void Drop(const LinkPtr& link, const char* reason);
   void Pump(const LinkPtr& link);
   void ReportUnsent(const LinkPtr& link);
   void Housekeep();
@@ -121,6 +130,10 @@
   endpoint->set_message_handler([this](Handle handle, const auto& message) {
     OnFrame(handle, message->get_payload());
   });
+  endpoint->set_pong_handler([this](Handle handle, const std::string&) {
+    auto found = by_handle_.find(handle);
+    if (found != by_handle_.end()) OnHeard(found->second.get());
+  });
   endpoint->set_close_handler([this](Handle handle) { OnEnded(handle); });
   endpoint->set_fail_handler([this](Handle handle) { OnEnded(handle); });
   // Small messages must not wait for the acknowledgement of earlier ones. The
@@ -154,8 +167,18 @@
     ErrorCode error;
     endpoint->close(handle, websocketpp::close::status::normal, "", error);
   };
+  link->terminate = [endpoint, handle] {
+    ErrorCode error;
+    auto connection = endpoint->get_con_from_hdl(handle, error);
+    if (!error) connection->terminate(ErrorCode());
+  };
+  link->ping = [endpoint, handle] {
+    ErrorCode error;
+    endpoint->ping(handle, "", error);
+  };
   link->pump_timer = std::make_unique<asio::steady_timer>(io_);
-  link->opened = link->last_use = std::chrono::steady_clock::now();
+  link->opened = link->last_use = link->last_heard =
+      std::chrono::steady_clock::now();
   by_handle_[handle] = link;
 }
 
@@ -238,6 +261,7 @@
   if (found == by_handle_.end()) return;
   LinkPtr link = found->second;
   link->last_use = std::chrono::steady_clock::now();
+  OnHeard(link.get());
   counters_.Add("link_bytes_total", "received", payload.size());
   if (!link->open) {
     return link->outbound ? OnChallenge(link, payload) : OnHello(link, payload);
@@ -312,6 +336,45 @@
   listener_->OnLinkLost(link->peer);
 }
 
+void LinkHub::Impl::OnHeard(Link* link) {
+  link->last_heard = std::chrono::steady_clock::now();
+  link->ping_out = false;
+}
+
+/// A link in use must show signs of its peer: a connection may be dead without
+/// any reset.
+void LinkHub::Impl::CheckLiveness(const LinkPtr& link) {
+  using Ms = std::chrono::milliseconds;
+  auto now = std::chrono::steady_clock::now();
+  if (!link->open) {
+    bool late = now - link->opened > Ms(settings_.handshake_timeout_ms);
+    if (late && link->outbound) Drop(link, "handshake timed out");
+    return;
+  }
+  if (link->ping_out) {
+    if (now - link->pinged > Ms(settings_.ping_timeout_ms))
+      Drop(link, "peer is silent");
+    return;
+  }
+  bool in_use = now - link->last_use < Ms(settings_.watch_ms);
+  if (!in_use || now - link->last_heard < Ms(settings_.ping_after_ms)) return;
+  link->ping_out = true;
+  link->pinged = now;
+  link->ping();
+}
+
+/// Ends a link at once; the connection is cleared away later.
+void LinkHub::Impl::Drop(const LinkPtr& link, const char* reason) {
+  counters_.Add("link_refusals_total", reason);
+  OnEnded(link->handle);
+  link->terminate();
+}
+
+void LinkHub::Impl::DropAll() {
+  auto links = by_handle_;
+  for (auto& [handle, link] : links) Drop(link, "own pause");
+}
+
 /// Hands frames to the connection while its buffer is short, so that urgent
 /// messages that come later are not queued behind long ones.
 void LinkHub::Impl::Pump(const LinkPtr& link) {
@@ -358,6 +421,8 @@
     if (idle || stuck) over.push_back(link);
   }
   for (const LinkPtr& link : over) link->close();
+  auto links = by_handle_;
+  for (auto& [handle, link] : links) CheckLiveness(link);
   housekeeping_.expires_after(std::chrono::milliseconds(kHousekeepingMs));
   housekeeping_.async_wait(
       [self = shared_from_this()](boost::system::error_code error) {
@@ -384,6 +449,7 @@
                    PeerMessage message) {
   impl_->Send(link, rank_index, std::move(message));
 }
+void LinkHub::DropAll() { impl_->DropAll(); }
 void LinkHub::Stop() { impl_->Stop(); }
 const Counters& LinkHub::Counts() const { return impl_->Counts(); }
 size_t LinkHub::OpenLinks() const { return impl_->OpenLinks(); }
--- a/banyanloft/links/link_hub.h
+++ b/banyanloft/links/link_hub.h
@@ -20,7 +20,14 @@
   int64_t handshake_timeout_ms =
       1000;  ///< Longest time for a link to open, in ms.
   int64_t idle_timeout_ms =
-      120000;               ///< Unused links are closed after this time, in ms.
+      120000;  ///< Unused links are closed after this time, in ms.
+  /// A link in use from which nothing came for this long is pinged, in ms.
+  int64_t ping_after_ms = 250;
+  /// A ping without any sign of the peer for this long ends the link, in ms:
+  /// several times the way to the farthest availability zone and back.
+  int64_t ping_timeout_ms = 600;
+  /// Links without messages for this long are not pinged, in ms.
+  int64_t watch_ms = 10000;
   size_t max_links = 4000;  ///< Links held at once.
   size_t write_window_bytes =
       64 * 1024;  ///< Bytes handed to a connection ahead of time.
@@ -55,6 +62,8 @@
   Result<Endpoint> Start();
   /// Sends a message; what becomes of it is told to the listener.
   void Send(const std::string& link, int rank_index, PeerMessage message);
+  /// Ends all links, as if each had been lost.
+  void DropAll();
   /// Closes all links.
   void Stop();
   /// Bytes sent and received, messages, refusals by reason.
--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -21,6 +21,11 @@
   kPullReply = 7,
   kChallenge = 8,
   kHello = 9,
+  kForwardRequest = 10,
+  kForwardAnswer = 11,
+  kCancelForward = 12,
+  kDocumentRequest = 13,
+  kDocumentReply = 14,
 };
 
 Json Tagged(MessageTag tag, Json fields) {
@@ -149,6 +154,95 @@
   return m;
 }
 
+Json EncodeHeaders(const HttpHeaders& headers) {
+  Json list = Json::array();
+  for (const auto& [name, value] : headers) {
+    list.push_back(BytesValue(name));
+    list.push_back(BytesValue(value));
+  }
+  return list;
+}
+
+void ReadHeaders(CborReader* r, HttpHeaders* headers) {
+  CborReader list(r->Next());
+  while (list.Ok() && !list.Done()) {
+    std::string name = list.Bytes();
+    headers->emplace_back(std::move(name), list.Bytes());
+  }
+  if (!list.Done()) r->Fail();
+}
+
+Json Encode(const ForwardRequest& m) {
+  return Tagged(
+      MessageTag::kForwardRequest,
+      Json::array({m.attempt, m.request_id, m.caller, m.service, m.route,
+                   m.idempotent, m.nested, m.priority, m.aim_left_ms,
+                   m.remaining_ms, m.method, BytesValue(m.target),
+                   EncodeHeaders(m.headers), BytesValue(m.body)}));
+}
+
+ForwardRequest ReadForwardRequest(CborReader* r) {
+  ForwardRequest m;
+  m.attempt = r->Unsigned();
+  m.request_id = r->String();
+  m.caller = r->String();
+  m.service = r->String();
+  m.route = r->String();
+  m.idempotent = r->Bool();
+  m.nested = r->Bool();
+  m.priority = r->Int();
+  m.aim_left_ms = r->Integer();
+  m.remaining_ms = r->Integer();
+  m.method = r->String();
+  m.target = r->Bytes();
+  ReadHeaders(r, &m.headers);
+  m.body = r->Bytes();
+  return m;
+}
+
+Json Encode(const ForwardAnswer& m) {
+  Json ahead = Json::array();
+  for (int count : m.load.ahead) ahead.push_back(count);
+  return Tagged(
+      MessageTag::kForwardAnswer,
+      Json::array({m.attempt, static_cast<int>(m.run_state),
+                   ErrorToCbor(m.error), m.arrived, m.retry_after_ms, m.run_ms,
+                   m.load.slots, ahead, m.load.mean_run_ms, m.response.status,
+                   EncodeHeaders(m.response.headers),
+                   BytesValue(m.response.body)}));
+}
+
+ForwardAnswer ReadForwardAnswer(CborReader* r) {
+  ForwardAnswer m;
+  m.attempt = r->Unsigned();
+  m.run_state = ReadEnum(r, RunState::kUnknown);
+  m.error = ReadError(r);
+  m.arrived = r->Bool();
+  m.retry_after_ms = r->Integer();
+  m.run_ms = r->Integer();
+  m.load.slots = r->Int();
+  CborReader ahead(r->Next());
+  for (int& count : m.load.ahead) count = ahead.Int();
+  if (!ahead.Done()) r->Fail();
+  m.load.mean_run_ms = r->Int();
+  m.response.status = r->Int();
+  ReadHeaders(r, &m.response.headers);
+  m.response.content_type.clear();
+  m.response.body = r->Bytes();
+  return m;
+}
+
+Json Encode(const CancelForward& m) {
+  return Tagged(MessageTag::kCancelForward, Json::array({m.attempt}));
+}
+Json Encode(const DocumentRequest& m) {
+  return Tagged(MessageTag::kDocumentRequest, Json::array({m.have_version}));
+}
+Json Encode(const DocumentReply& m) {
+  return Tagged(MessageTag::kDocumentReply,
+                Json::array({m.version, BytesValue(m.text)}));
+}
+
 KeyAnswer ReadKeyAnswer(CborReader* r) {
   KeyAnswer m;
   m.attempt = r->Unsigned();
@@ -177,6 +271,18 @@
     }
     case MessageTag::kPullReply:
       return ReadPullReply(r);
+    case MessageTag::kForwardRequest:
+      return ReadForwardRequest(r);
+    case MessageTag::kForwardAnswer:
+      return ReadForwardAnswer(r);
+    case MessageTag::kCancelForward:
+      return CancelForward{r->Unsigned()};
+    case MessageTag::kDocumentRequest:
+      return DocumentRequest{r->Unsigned()};
+    case MessageTag::kDocumentReply: {
+      uint64_t version = r->Unsigned();
+      return DocumentReply{version, r->Bytes()};
+    }
     case MessageTag::kChallenge:
     case MessageTag::kHello:
       break;
@@ -270,7 +376,7 @@
   int64_t tag = 0;
   const Json* fields = FieldsOf(value, &tag);
   bool known = tag >= static_cast<int64_t>(MessageTag::kRunRequest) &&
-               tag <= static_cast<int64_t>(MessageTag::kPullReply);
+               tag <= static_cast<int64_t>(MessageTag::kDocumentReply);
   if (fields == nullptr || !known) return ProtocolError("link message");
   CborReader reader(*fields);
   PeerMessage message = ReadMessage(static_cast<MessageTag>(tag), &reader);
--- a/banyanloft/links/peer_message.h
+++ b/banyanloft/links/peer_message.h
@@ -7,12 +7,15 @@
 #include "banyanloft/calls/call_types.h"
 #include "banyanloft/distribution/distributor.h"
 #include "banyanloft/membership/member.h"
+#include "banyanloft/mesh/mesh_message.h"
 
 namespace banyanloft {
 
 /// A message on the link between two daemons.
-using PeerMessage = std::variant<RunRequest, RunAnswer, CancelRun, KeyRequest,
-                                 KeyAnswer, PullRequest, PullReply>;
+using PeerMessage =
+    std::variant<RunRequest, RunAnswer, CancelRun, KeyRequest, KeyAnswer,
+                 PullRequest, PullReply, ForwardRequest, ForwardAnswer,
+                 CancelForward, DocumentRequest, DocumentReply>;
 
 /// Protocol versions that this release speaks; links use the highest common
 /// one.
--- /dev/null
+++ b/banyanloft/mesh/backend_runner.cc
@@ -0,0 +1,388 @@
+#include "banyanloft/mesh/backend_runner.h"
+
+#include <algorithm>
+#include <array>
+
+#include "banyanloft/core/digest.h"
+
+namespace banyanloft {
+namespace {
+
+/// A request is the same as one before if caller, path and body are.
+uint64_t FingerprintOf(const ForwardRequest& request) {
+  uint64_t seed = FastHash(request.caller, FastHash(request.target));
+  return FastHash(request.body, seed);
+}
+
+/// Error of a result that is no answer.
+ErrorKind ErrorOfResult(RunResult::Type type) {
+  switch (type) {
+    case RunResult::Type::kRejected:
+      return ErrorKind::kBackendShed;
+    case RunResult::Type::kMisplaced:
+    case RunResult::Type::kNotSent:
+      return ErrorKind::kBackendUnavailable;
+    case RunResult::Type::kTimeout:
+      return ErrorKind::kTimeout;
+    case RunResult::Type::kCancelled:
+      return ErrorKind::kCancelled;
+    case RunResult::Type::kAnswered:
+    case RunResult::Type::kBroken:
+    case RunResult::Type::kGarbled:
+      break;
+  }
+  return ErrorKind::kBackendBroken;
+}
+
+bool SaysNotRun(RunResult::Type type) {
+  return type == RunResult::Type::kRejected ||
+         type == RunResult::Type::kMisplaced ||
+         type == RunResult::Type::kNotSent;
+}
+
+}  // namespace
+
+const char* NameOf(RunResult::Type type) {
+  constexpr std::array<const char*, 8> kNames = {
+      "answered", "rejected", "misplaced", "not_sent",
+      "broken",   "garbled",  "timeout",   "cancelled"};
+  return kNames[static_cast<size_t>(type)];
+}
+
+BackendRunner::BackendRunner(const BackendRunnerSettings& settings,
+                             uint64_t seed, TimeMs now)
+    : settings_(settings),
+      random_(seed),
+      registry_(settings.address),
+      gate_(settings.gate),
+      crash_guard_(settings.crash_guard),
+      next_probe_(now) {}
+
+const std::string& BackendRunner::Service() const {
+  const std::string& reported = registry_.Last().service;
+  return reported.empty() ? settings_.service : reported;
+}
+
+void BackendRunner::OnForward(TimeMs now, const std::string& from_link,
+                              ForwardRequest request, Actions* actions) {
+  counters_.Add("runs_offered_total");
+  uint64_t id = next_work_++;
+  Work& work = works_[id];
+  work.from = ForwardOrigin{from_link, request.attempt};
+  work.arrived = now;
+  work.deadline = now + request.remaining_ms;
+  work.fingerprint = FingerprintOf(request);
+  work.request = std::move(request);
+  work_by_origin_[work.from] = id;
+  if (std::optional<ErrorKind> error = CheckNew(now, work)) {
+    bool crash = error == ErrorKind::kCrashSuspect;
+    return Refuse(now, id, *error, crash ? settings_.crash_retry_after_ms : 0,
+                  0, actions);
+  }
+  SlotWork offer;
+  offer.id = id;
+  offer.urgency = UrgencyOf(work.request.nested, work.request.priority);
+  offer.route = work.request.route;
+  offer.aim_left_ms = work.request.aim_left_ms;
+  offer.deadline = work.deadline;
+  offer.solo =
+      crash_guard_.Check(now, work.fingerprint) == CrashGuard::Verdict::kSolo;
+  SlotGate::Verdicts verdicts;
+  gate_.Offer(now, std::move(offer), &verdicts);
+  Carry(now, verdicts, actions);
+}
+
+std::optional<ErrorKind> BackendRunner::CheckNew(TimeMs now,
+                                                 const Work& work) const {
+  switch (registry_.State()) {
+    case InstanceState::kUnknown:
+      return ErrorKind::kBackendUnavailable;
+    case InstanceState::kDraining:
+    case InstanceState::kGone:
+      return ErrorKind::kDraining;
+    case InstanceState::kReady:
+      break;
+  }
+  if (work.request.service != Service()) return ErrorKind::kNoTarget;
+  bool crashes =
+      crash_guard_.Check(now, work.fingerprint) == CrashGuard::Verdict::kRefuse;
+  if (crashes) return ErrorKind::kCrashSuspect;
+  return std::nullopt;
+}
+
+void BackendRunner::Carry(TimeMs now, const SlotGate::Verdicts& verdicts,
+                          Actions* actions) {
+  for (const SlotVerdict& verdict : verdicts) {
+    if (verdict.type == SlotVerdict::Type::kRefuse) {
+      Refuse(now, verdict.id, verdict.error, verdict.retry_after_ms,
+             verdict.expected_wait_ms, actions);
+      continue;
+    }
+    Work& work = works_.at(verdict.id);
+    work.running = true;
+    work.started = now;
+    counters_.Add("runs_started_total");
+    StartRun start;
+    start.run = verdict.id;
+    start.instance = registry_.Last().id;
+    start.remaining_ms = std::max<int64_t>(1, work.deadline - now);
+    start.request = work.request;
+    actions->push_back(std::move(start));
+  }
+}
+
+void BackendRunner::Refuse(TimeMs now, uint64_t id, ErrorKind error,
+                           int64_t retry_after_ms, int64_t expected_wait_ms,
+                           Actions* actions) {
+  const Work& work = works_.at(id);
+  counters_.Add("run_refusals_total", std::string(NameOf(error)));
+  actions->push_back(
+      LogRecord{LogLevel::kInfo,
+                "run_refused",
+                {{"request", work.request.request_id},
+                 {"error", std::string(NameOf(error))},
+                 {"instance", registry_.Last().id},
+                 {"instance_state", NameOf(registry_.State())},
+                 {"running", std::to_string(gate_.Running())},
+                 {"waiting", std::to_string(gate_.Waiting())},
+                 {"expected_wait_ms", std::to_string(expected_wait_ms)},
+                 {"waited_ms", std::to_string(now - work.arrived)},
+                 {"retry_after_ms", std::to_string(retry_after_ms)}}});
+  ForwardAnswer answer;
+  answer.run_state = RunState::kNotRun;
+  answer.error = error;
+  answer.retry_after_ms = retry_after_ms;
+  Answer(work, std::move(answer), actions);
+  Drop(now, id, actions);
+}
+
+void BackendRunner::Answer(const Work& work, ForwardAnswer answer,
+                           Actions* actions) {
+  if (work.orphan) return;
+  answer.attempt = work.from.attempt;
+  answer.load = gate_.Load();
+  actions->push_back(
+      SendForwardAnswer{work.from, work.request.priority, std::move(answer)});
+}
+
+void BackendRunner::Drop(TimeMs, uint64_t id, Actions*) {
+  auto it = works_.find(id);
+  if (!it->second.orphan) work_by_origin_.erase(it->second.from);
+  works_.erase(it);
+}
+
+void BackendRunner::OnResult(TimeMs now, RunResult result, Actions* actions) {
+  auto it = works_.find(result.run);
+  if (it == works_.end()) return;
+  Work& work = it->second;
+  bool answered = result.type == RunResult::Type::kAnswered;
+  int64_t run_ms = answered ? now - work.started : -1;
+  counters_.Add("run_results_total", NameOf(result.type));
+  if (!answered && result.type != RunResult::Type::kCancelled) {
+    actions->push_back(
+        LogRecord{LogLevel::kWarning,
+                  "run_failed",
+                  {{"request", work.request.request_id},
+                   {"result", NameOf(result.type)},
+                   {"status", std::to_string(result.response.status)},
+                   {"instance", registry_.Last().id},
+                   {"run_ms", std::to_string(now - work.started)}}});
+  }
+  if (answered) {
+    std::vector<CrashStrike> cleared =
+        crash_guard_.OnSuccess(now, work.fingerprint);
+    if (!cleared.empty())
+      actions->push_back(SpreadCrashStrikes{std::move(cleared)});
+  }
+
+  ForwardAnswer answer;
+  answer.arrived = result.type != RunResult::Type::kNotSent;
+  answer.run_ms = run_ms;
+  if (answered) {
+    answer.run_state = RunState::kRan;
+    answer.response = std::move(result.response);
+  } else {
+    answer.error = ErrorOfResult(result.type);
+    answer.run_state =
+        SaysNotRun(result.type) ? RunState::kNotRun : RunState::kUnknown;
+  }
+  uint64_t fingerprint = work.fingerprint;
+  Answer(work, std::move(answer), actions);
+  Drop(now, result.run, actions);
+  SlotGate::Verdicts verdicts;
+  gate_.Finish(now, result.run, run_ms, &verdicts);
+  Carry(now, verdicts, actions);
+
+  if (result.type == RunResult::Type::kBroken)
+    NoteBroken(now, fingerprint, actions);
+  bool lost = result.type == RunResult::Type::kNotSent ||
+              result.type == RunResult::Type::kMisplaced;
+  if (lost) OnDown(now, actions);
+}
+
+/// Requests no longer reach the instance that was there. What waits may be
+/// answered elsewhere in time.
+void BackendRunner::OnDown(TimeMs now, Actions* actions) {
+  if (registry_.State() == InstanceState::kReady) {
+    registry_.OnLost();
+    LogInstance("instance_lost", actions);
+    SlotGate::Verdicts verdicts;
+    gate_.RefuseAll(ErrorKind::kBackendUnavailable, &verdicts);
+    Carry(now, verdicts, actions);
+  }
+  Probe(now, actions);
+}
+
+void BackendRunner::OnCancel(TimeMs now, const std::string& from_link,
+                             uint64_t attempt, Actions* actions) {
+  auto found = work_by_origin_.find(ForwardOrigin{from_link, attempt});
+  if (found == work_by_origin_.end()) return;
+  uint64_t id = found->second;
+  Work& work = works_.at(id);
+  counters_.Add("runs_cancelled_total");
+  work_by_origin_.erase(found);
+  work.orphan = true;
+  if (!work.running) {
+    gate_.Withdraw(id);
+    works_.erase(id);
+    return;
+  }
+  // What must not run twice is not cut off halfway: it ends as it would have.
+  if (work.request.idempotent) actions->push_back(CancelRunOnBackend{id});
+  (void)now;
+}
+
+void BackendRunner::OnPeerLost(TimeMs now, const std::string& link,
+                               Actions* actions) {
+  std::vector<uint64_t> attempts;
+  for (auto it = work_by_origin_.lower_bound(ForwardOrigin{link, 0});
+       it != work_by_origin_.end() && it->first.link == link; ++it)
+    attempts.push_back(it->first.attempt);
+  for (uint64_t attempt : attempts) OnCancel(now, link, attempt, actions);
+}
+
+void BackendRunner::OnReport(TimeMs now, const InstanceReport& report,
+                             Actions* actions) {
+  if (report.slots > 0) gate_.SetSlots(report.slots);
+  OnChange(now, registry_.OnReport(now, report), actions);
+}
+
+void BackendRunner::OnLeft(TimeMs now, const std::string& instance,
+                           Actions* actions) {
+  OnChange(now, registry_.OnLeft(now, instance), actions);
+}
+
+void BackendRunner::OnChange(TimeMs now, InstanceRegistry::Change change,
+                             Actions* actions) {
+  switch (change) {
+    case InstanceRegistry::Change::kNone:
+      return;
+    case InstanceRegistry::Change::kIgnored:
+      counters_.Add("instance_reports_ignored_total");
+      return;
+    case InstanceRegistry::Change::kStarted:
+      LogInstance("instance_started", actions);
+      OnCrash(now, actions);
+      break;
+    case InstanceRegistry::Change::kUpdated:
+      LogInstance("instance_changed", actions);
+      break;
+  }
+  InstanceState state = registry_.State();
+  bool leaving =
+      state == InstanceState::kDraining || state == InstanceState::kGone;
+  if (!leaving) return;
+  SlotGate::Verdicts verdicts;
+  gate_.RefuseAll(ErrorKind::kDraining, &verdicts);
+  Carry(now, verdicts, actions);
+}
+
+void BackendRunner::LogInstance(const char* event, Actions* actions) {
+  const InstanceReport& instance = registry_.Last();
+  actions->push_back(
+      LogRecord{LogLevel::kInfo,
+                event,
+                {{"instance", instance.id},
+                 {"state", NameOf(registry_.State())},
+                 {"service", Service()},
+                 {"slots", std::to_string(instance.slots)},
+                 {"born_ms", std::to_string(instance.born_ms)},
+                 {"sequence", std::to_string(instance.sequence)}}});
+}
+
+void BackendRunner::Probe(TimeMs now, Actions* actions) {
+  if (probing_ || now < next_probe_) return;
+  probing_ = true;
+  next_probe_ = now + settings_.probe_pause_ms;
+  counters_.Add("instance_probes_total");
+  actions->push_back(ProbeInstance{});
+}
+
+void BackendRunner::OnProbed(TimeMs now, bool up, const std::string& instance,
+                             Actions* actions) {
+  probing_ = false;
+  if (!up) {
+    OnCrash(now, actions);
+    if (registry_.State() == InstanceState::kReady) {
+      registry_.OnLost();
+      LogInstance("instance_lost", actions);
+      SlotGate::Verdicts verdicts;
+      gate_.RefuseAll(ErrorKind::kBackendUnavailable, &verdicts);
+      Carry(now, verdicts, actions);
+    }
+    return;
+  }
+  if (instance.empty()) return;
+  bool other = !registry_.Last().id.empty() && registry_.Last().id != instance;
+  if (other) registry_.OnLost();
+  OnChange(now, registry_.OnHealthy(now, instance, settings_.service), actions);
+}
+
+/// Broken runs may mean a crash: find out before anything is suspected.
+void BackendRunner::NoteBroken(TimeMs now, uint64_t fingerprint,
+                               Actions* actions) {
+  if (now - broken_since_ >= settings_.crash_window_ms) broken_.clear();
+  if (broken_.empty()) broken_since_ = now;
+  broken_.insert(fingerprint);
+  Probe(now, actions);
+}
+
+void BackendRunner::OnCrash(TimeMs now, Actions* actions) {
+  if (broken_.empty() || now - broken_since_ >= settings_.crash_window_ms)
+    return;
+  counters_.Add("backend_crashes_total");
+  std::vector<uint64_t> fingerprints(broken_.begin(), broken_.end());
+  broken_.clear();
+  actions->push_back(
+      LogRecord{LogLevel::kWarning,
+                "instance_crashed",
+                {{"instance", registry_.Last().id},
+                 {"requests_broken", std::to_string(fingerprints.size())}}});
+  std::vector<CrashStrike> strikes =
+      crash_guard_.OnCrash(now, random_.Bits(), fingerprints);
+  if (!strikes.empty())
+    actions->push_back(SpreadCrashStrikes{std::move(strikes)});
+}
+
+void BackendRunner::OnOwnPause(TimeMs now, Actions* actions) {
+  SlotGate::Verdicts verdicts;
+  gate_.RefuseAll(ErrorKind::kOverloaded, &verdicts);
+  Carry(now, verdicts, actions);
+}
+
+void BackendRunner::Tick(TimeMs now, Actions* actions) {
+  SlotGate::Verdicts verdicts;
+  gate_.Tick(now, &verdicts);
+  Carry(now, verdicts, actions);
+  crash_guard_.Tick(now);
+
+  InstanceState state = registry_.State();
+  bool silent = now - registry_.ReportedAt() >
+                settings_.heartbeat_ms * settings_.missed_reports;
+  bool ask =
+      (state == InstanceState::kUnknown && registry_.Last().id.empty()) ||
+      (state == InstanceState::kReady && silent);
+  if (ask) Probe(now, actions);
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/mesh/config_follower.cc
@@ -0,0 +1,162 @@
+#include "banyanloft/mesh/config_follower.h"
+
+#include <algorithm>
+
+namespace banyanloft {
+namespace {
+
+constexpr int kMaxBackoffDoublings = 5;
+
+}  // namespace
+
+ConfigFollower::ConfigFollower(const ConfigFollowerSettings& settings,
+                               uint64_t seed, TimeMs now,
+                               const ConfigurationReader* reader)
+    : settings_(settings), random_(seed), reader_(reader), next_call_(now) {}
+
+void ConfigFollower::Tick(TimeMs now, bool watching, Actions* actions) {
+  if (pull_version_ != 0 && now >= pull_deadline_) pull_version_ = 0;
+  if (call_ != Call::kNone && now >= call_deadline_) {
+    call_ = Call::kNone;
+    OnCallFailed(now, "no answer in time", actions);
+  }
+  // Whoever becomes a watcher does not wait for its next poll.
+  bool hurry = watching && failures_ == 0;
+  if (call_ == Call::kNone && (now >= next_call_ || hurry))
+    StartCall(now, watching, actions);
+}
+
+void ConfigFollower::StartCall(TimeMs now, bool watching, Actions* actions) {
+  PlatformCall call;
+  call.type = PlatformCall::Type::kList;
+  call.key = settings_.prefix;
+  bool watch = watching && table_ && revision_ != 0 && failures_ == 0;
+  if (watch) {
+    call.watch_after = revision_;
+    call.wait_ms = settings_.watch_wait_ms;
+    call_ = Call::kWatch;
+    call_deadline_ = now + settings_.watch_wait_ms + settings_.timeout_ms;
+  } else {
+    call.stale_ok = table_ != nullptr && !watching;
+    call_ = Call::kRead;
+    call_deadline_ = now + settings_.timeout_ms;
+  }
+  counters_.Add("config_reads_total", watch ? "watch" : "read");
+  actions->push_back(std::move(call));
+}
+
+void ConfigFollower::OnCallFailed(TimeMs now, const std::string& reason,
+                                  Actions* actions) {
+  counters_.Add("config_read_failures_total");
+  if (failures_ == 0) {
+    actions->push_back(LogRecord{
+        LogLevel::kWarning,
+        "store_lost",
+        {{"reason", reason}, {"version", std::to_string(Version())}}});
+  }
+  int doublings = std::min(failures_, kMaxBackoffDoublings);
+  ++failures_;
+  int64_t pause_ms =
+      std::min(settings_.backoff_ms << doublings, settings_.backoff_cap_ms);
+  int64_t jitter_ms = static_cast<int64_t>(
+      random_.Below(static_cast<uint64_t>(pause_ms) / 2 + 1));
+  next_call_ = now + pause_ms * 3 / 4 + jitter_ms;
+}
+
+void ConfigFollower::OnStore(TimeMs now, const PlatformReply& reply,
+                             Actions* actions) {
+  if (call_ == Call::kNone) return;
+  bool was_watch = call_ == Call::kWatch;
+  call_ = Call::kNone;
+  if (reply.error && reply.error->kind == ErrorKind::kHistoryLost) {
+    // A read brings the present state, from which to watch on.
+    revision_ = 0;
+    next_call_ = now;
+    counters_.Add("config_history_lost_total");
+    return;
+  }
+  if (reply.error) return OnCallFailed(now, reply.error->detail, actions);
+  if (failures_ > 0) {
+    actions->push_back(
+        LogRecord{LogLevel::kInfo,
+                  "store_regained",
+                  {{"failures", std::to_string(failures_)},
+                   {"revision", std::to_string(reply.revision)}}});
+  }
+  failures_ = 0;
+  revision_ = std::max(revision_, reply.revision);
+  next_call_ = was_watch ? now : now + settings_.poll_ms;
+  for (const PlatformObject& object : reply.objects) {
+    if (object.key == settings_.key)
+      Consider(now, object.value, was_watch ? "watch" : "read", actions);
+  }
+  // Nothing has been written yet: look again soon.
+  if (!table_) next_call_ = now + settings_.backoff_ms;
+}
+
+void ConfigFollower::OnRumour(TimeMs now, const std::string& link,
+                              uint64_t version, Actions* actions) {
+  bool newer = version > Version() && version > pull_version_;
+  if (!newer || link.empty()) return;
+  pull_version_ = version;
+  pull_deadline_ = now + settings_.pull_timeout_ms;
+  counters_.Add("config_pulls_total");
+  actions->push_back(PullDocument{link, DocumentRequest{Version()}});
+}
+
+DocumentReply ConfigFollower::OnDocumentRequest(
+    const DocumentRequest& request) const {
+  if (Version() <= request.have_version) return {};
+  return {Version(), text_};
+}
+
+void ConfigFollower::OnDocument(TimeMs now, const DocumentReply& reply,
+                                Actions* actions) {
+  pull_version_ = 0;
+  if (reply.version > Version()) Consider(now, reply.text, "peer", actions);
+}
+
+/// Adopts a document if it is whole, sound and newer.
+void ConfigFollower::Consider(TimeMs, const std::string& text,
+                              const char* source, Actions* actions) {
+  if (text == text_ || text == refused_text_) return;
+  std::string problem;
+  Result<RouteConfiguration> read = reader_->ReadConfiguration(text);
+  RouteTablePtr table;
+  if (const Error* error = ErrorOf(read)) {
+    problem = error->detail;
+  } else if (ValueOf(read)->version <= Version()) {
+    counters_.Add("config_ignored_total", "older");
+    return;
+  } else {
+    Result<RouteTablePtr> made = RouteTable::Create(std::move(*ValueOf(read)));
+    if (const Error* flaw = ErrorOf(made)) {
+      problem = flaw->detail;
+    } else {
+      table = *ValueOf(made);
+    }
+  }
+  if (!table) {
+    refused_text_ = text;
+    counters_.Add("config_ignored_total", "unreadable");
+    actions->push_back(LogRecord{LogLevel::kError,
+                                 "version_rejected",
+                                 {{"problem", problem},
+                                  {"source", source},
+                                  {"in_force", std::to_string(Version())}}});
+    return;
+  }
+  actions->push_back(
+      LogRecord{LogLevel::kInfo,
+                "version_adopted",
+                {{"version", std::to_string(table->Version())},
+                 {"before", std::to_string(Version())},
+                 {"source", source},
+                 {"routes", std::to_string(table->Config().routes.size())}}});
+  table_ = table;
+  text_ = text;
+  counters_.Add("config_adopted_total", source);
+  actions->push_back(TableAdopted{std::move(table)});
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/mesh/config_follower.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "banyanloft/core/counters.h"
+#include "banyanloft/core/log.h"
+#include "banyanloft/core/random.h"
+#include "banyanloft/core/time.h"
+#include "banyanloft/mesh/mesh_message.h"
+#include "banyanloft/mesh/route_table.h"
+#include "banyanloft/store/platform_message.h"
+
+namespace banyanloft {
+
+/// Reads a document of the store. Implemented by the adapter of a platform.
+class ConfigurationReader {
+ public:
+  virtual ~ConfigurationReader() = default;
+  /// The configuration in a document; fails whole on any flaw.
+  virtual Result<RouteConfiguration> ReadConfiguration(
+      const std::string& text) const = 0;
+};
+
+/// Settings of following the configuration.
+struct ConfigFollowerSettings {
+  std::string prefix = "config/";   ///< Keys among which the document lies.
+  std::string key = "config/main";  ///< Key of the document.
+  /// Longest wait of one watch, in ms. It bounds for how long a watch whose
+  /// connection died in silence goes unnoticed.
+  int64_t watch_wait_ms = 2000;
+  int64_t timeout_ms = 800;  ///< Wait for an answer beyond the watch's, in ms.
+  /// Members that do not watch read this often, in ms, in case no rumour
+  /// reaches them; by a read that may be out of date and costs little.
+  int64_t poll_ms = 5000;
+  int64_t backoff_ms = 150;       ///< First pause after a failure, in ms.
+  int64_t backoff_cap_ms = 1500;  ///< Longest pause after failures, in ms.
+  int64_t pull_timeout_ms = 400;  ///< Wait for a peer's document, in ms.
+};
+
+/// Asks a peer for its document.
+struct PullDocument {
+  std::string link;
+  DocumentRequest request;
+};
+/// A version was adopted.
+struct TableAdopted {
+  RouteTablePtr table;
+};
+using ConfigFollowerAction =
+    std::variant<PlatformCall, PullDocument, TableAdopted, LogRecord>;
+
+/// Brings the store's configuration in force: by watch at some members, by
+/// rumour and pull at the rest, by polls as the net below. A version is adopted
+/// whole and only if its number is higher. Unreadable content leaves the last
+/// good version in force. Deterministic; not thread safe; free of I/O.
+class ConfigFollower {
+ public:
+  using Actions = std::vector<ConfigFollowerAction>;
+
+  ConfigFollower(const ConfigFollowerSettings& settings, uint64_t seed,
+                 TimeMs now, const ConfigurationReader* reader);
+
+  /// The store answered the call under way.
+  void OnStore(TimeMs now, const PlatformReply& reply, Actions* actions);
+  /// A peer has a version in force.
+  void OnRumour(TimeMs now, const std::string& link, uint64_t version,
+                Actions* actions);
+  /// A peer asks for the document.
+  DocumentReply OnDocumentRequest(const DocumentRequest& request) const;
+  /// A peer sent its document.
+  void OnDocument(TimeMs now, const DocumentReply& reply, Actions* actions);
+  /// Calls, pulls and their time-outs. `watching`: this member is one of those
+  /// that watch for their zone.
+  void Tick(TimeMs now, bool watching, Actions* actions);
+
+  uint64_t Version() const { return table_ ? table_->Version() : 0; }
+  const RouteTablePtr& Table() const { return table_; }
+  /// False while calls to the store fail.
+  bool StoreReachable() const { return failures_ == 0; }
+  const Counters& Counts() const { return counters_; }
+
+ private:
+  enum class Call : uint8_t { kNone, kRead, kWatch };
+
+  void StartCall(TimeMs now, bool watching, Actions* actions);
+  void OnCallFailed(TimeMs now, const std::string& reason, Actions* actions);
+  void Consider(TimeMs now, const std::string& text, const char* source,
+                Actions* actions);
+
+  ConfigFollowerSettings settings_;
+  Random random_;
+  const ConfigurationReader* reader_;
+  RouteTablePtr table_;
+  std::string text_;          ///< The document in force.
+  std::string refused_text_;  ///< The last one that could not be read.
+  uint64_t revision_ = 0;     ///< Of the store, as of the last answer.
+  Call call_ = Call::kNone;
+  TimeMs call_deadline_;
+  TimeMs next_call_;
+  int failures_ = 0;
+  uint64_t pull_version_ = 0;  ///< Version asked of a peer; 0: none.
+  TimeMs pull_deadline_;
+  Counters counters_;
+};
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/mesh/forwarder.cc
@@ -0,0 +1,394 @@
+#include "banyanloft/mesh/forwarder.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace banyanloft {
+namespace {
+
+constexpr int64_t kPermille = 1000;
+constexpr int kServerError = 500;
+
+/// Whether asking another target may help after a refusal.
+bool OthersMayAccept(ErrorKind error) {
+  return error != ErrorKind::kCrashSuspect;
+}
+
+}  // namespace
+
+Forwarder::Forwarder(const ForwarderSettings& settings, uint64_t seed,
+                     const CandidateDirectory* directory)
+    : settings_(settings),
+      directory_(directory),
+      random_(seed),
+      splitter_(random_.Bits()),
+      board_(settings.board, random_.Bits()),
+      budget_(settings.budget),
+      // A peer may still answer attempts of an earlier process at this address.
+      next_attempt_(random_.Bits() >> 1) {}
+
+void Forwarder::OnRequest(TimeMs now, uint64_t id, MeshRequest request,
+                          Actions* actions) {
+  if (!table_) {
+    return Refuse(id, ErrorKind::kNotReady, settings_.not_ready_retry_ms,
+                  request.request_id, actions);
+  }
+  const HttpRoute* route = table_->Match(request.host, request.target);
+  if (route == nullptr) {
+    return Refuse(id, ErrorKind::kUnknownRoute, 0, request.request_id, actions);
+  }
+  if (requests_.size() >= settings_.max_requests) {
+    return Refuse(id, ErrorKind::kQueueFull, settings_.no_target_retry_ms,
+                  request.request_id, actions);
+  }
+  Pending& pending = requests_[id];
+  pending.table = table_;
+  pending.route = route;
+  pending.arrived = now;
+  pending.deadline = now + route->timeout_ms;
+  if (request.wait_ms > 0) {
+    TimeMs client = now + request.wait_ms - settings_.answer_margin_ms;
+    pending.deadline = std::min(pending.deadline, client);
+  }
+  pending.service = splitter_.Next(*route);
+  pending.request = std::move(request);
+  budget_.OnRequest(now, pending.service);
+  counters_.Add("forward_requests_total", pending.service);
+  StartAttempt(now, id, actions);
+}
+
+void Forwarder::StartAttempt(TimeMs now, uint64_t id, Actions* actions) {
+  Pending& pending = requests_.at(id);
+  const HttpRoute& route = *pending.route;
+  int64_t left_ms = pending.deadline - now;
+  if (left_ms <= 0) return Fail(now, id, ErrorKind::kTimeout, actions);
+
+  std::vector<TargetCandidate> candidates =
+      directory_->CandidatesOf(pending.service);
+  TargetQuery query;
+  query.route = route.id;
+  query.urgency = UrgencyOf(pending.request.nested, route.priority);
+  query.aim_left_ms = pending.arrived + route.aim_ms - now;
+  std::optional<TargetChoice> choice;
+  if (!candidates.empty())
+    choice = board_.Choose(now, candidates, query, pending.excluded);
+  if (!choice && !pending.open.empty()) return;
+  if (!choice) {
+    ErrorKind error = pending.arrivals + pending.refusals > 0
+                          ? pending.last_error
+                          : ErrorKind::kNoTarget;
+    return Fail(now, id, error, actions);
+  }
+
+  uint64_t attempt = next_attempt_++;
+  pending.open.push_back({attempt, choice->id});
+  pending.target = choice->id;
+  request_by_attempt_[attempt] = id;
+  int64_t share_ms =
+      std::max(settings_.attempt_min_ms,
+               left_ms * settings_.second_offer_permille / kPermille);
+  bool another_may_follow = route.idempotent && route.max_attempts > 1 &&
+                            candidates.size() > 1 && pending.arrivals == 0 &&
+                            pending.open.size() == 1;
+  pending.second_offer_at =
+      another_may_follow ? now + std::min(share_ms, left_ms) : pending.deadline;
+  board_.OnSent(choice->id);
+
+  ForwardRequest forward;
+  forward.attempt = attempt;
+  forward.request_id = pending.request.request_id;
+  forward.caller = settings_.caller;
+  forward.service = pending.service;
+  forward.route = route.id;
+  forward.idempotent = route.idempotent;
+  forward.nested = pending.request.nested;
+  forward.priority = route.priority;
+  forward.aim_left_ms = query.aim_left_ms;
+  forward.remaining_ms = left_ms;
+  forward.method = pending.request.method;
+  forward.target = pending.request.target;
+  forward.headers = pending.request.headers;
+  forward.body = pending.request.body;
+  counters_.Add("forward_attempts_total", choice->near ? "near" : "far");
+  actions->push_back(SendForward{choice->id, std::move(forward)});
+}
+
+/// Closes the books on an attempt; returns its target.
+MemberId Forwarder::EndAttempt(Pending* pending, uint64_t attempt) {
+  auto it = std::find_if(pending->open.begin(), pending->open.end(),
+                         [&](const Attempt& a) { return a.id == attempt; });
+  assert(it != pending->open.end());
+  MemberId target = it->target;
+  pending->open.erase(it);
+  request_by_attempt_.erase(attempt);
+  board_.OnEnded(target);
+  return target;
+}
+
+/// Withdraws all attempts under way.
+void Forwarder::CancelOpen(Pending* pending, Actions* actions) {
+  while (!pending->open.empty()) {
+    Attempt attempt = pending->open.back();
+    actions->push_back(
+        SendCancelForward{attempt.target, CancelForward{attempt.id}});
+    EndAttempt(pending, attempt.id);
+  }
+}
+
+void Forwarder::OnAnswer(TimeMs now, ForwardAnswer answer, Actions* actions) {
+  auto found = request_by_attempt_.find(answer.attempt);
+  if (found == request_by_attempt_.end()) {
+    counters_.Add("forward_late_answers_total");
+    return;
+  }
+  uint64_t id = found->second;
+  Pending& pending = requests_.at(id);
+  MemberId target = EndAttempt(&pending, answer.attempt);
+  pending.excluded.push_back(target);
+  board_.OnReport(now, target, answer.load, pending.route->id, answer.run_ms);
+
+  if (answer.error && answer.run_state == RunState::kNotRun) {
+    if (answer.arrived) board_.OnOutcome(now, target, true);
+    if (!answer.arrived && answer.error != ErrorKind::kOverloaded &&
+        answer.error != ErrorKind::kDeadlineUnmeetable &&
+        answer.error != ErrorKind::kCrashSuspect)
+      board_.Avoid(now, target);
+    return OnRefused(now, id, *answer.error, answer.retry_after_ms,
+                     answer.arrived, actions);
+  }
+  ++pending.arrivals;
+  if (answer.error) {
+    board_.OnOutcome(now, target, true);
+    return OnUnknown(now, id, *answer.error, actions);
+  }
+  bool failed = answer.response.status >= kServerError;
+  board_.OnOutcome(now, target, failed);
+  // An idempotent request that the target failed may succeed elsewhere.
+  if (failed &&
+      (!pending.open.empty() || MayRepeat(now, pending, "backend_failed",
+                                          settings_.failed_share_permille))) {
+    pending.last_error = ErrorKind::kBackendBroken;
+    pending.maybe_ran = true;
+    pending.failure = std::move(answer.response);
+    if (!pending.open.empty()) return;
+    return StartAttempt(now, id, actions);
+  }
+  MeshAnswer out;
+  out.run_state = RunState::kRan;
+  out.response = std::move(answer.response);
+  Finish(now, id, std::move(out), actions);
+}
+
+/// A target or its daemon says that the attempt did not run.
+void Forwarder::OnRefused(TimeMs now, uint64_t id, ErrorKind error,
+                          int64_t retry_after_ms, bool arrived,
+                          Actions* actions) {
+  Pending& pending = requests_.at(id);
+  pending.last_error = error;
+  ++pending.refusals;
+  if (arrived) ++pending.arrivals;
+  if (retry_after_ms > 0) {
+    pending.retry_after_ms =
+        pending.retry_after_ms == 0
+            ? retry_after_ms
+            : std::min(pending.retry_after_ms, retry_after_ms);
+  }
+  counters_.Add("forward_refused_total", std::string(NameOf(error)));
+  if (!pending.open.empty()) return;
+  bool again = OthersMayAccept(error) &&
+               pending.refusals < settings_.max_refusals &&
+               now < pending.deadline;
+  // What reached a backend server counts as one of the attempts allowed.
+  if (again && arrived) {
+    again = pending.arrivals < pending.route->max_attempts &&
+            budget_.Take(now, pending.service, kPermille);
+  }
+  if (!again) return Fail(now, id, error, actions);
+  StartAttempt(now, id, actions);
+}
+
+/// An attempt ended without saying whether it ran.
+void Forwarder::OnUnknown(TimeMs now, uint64_t id, ErrorKind error,
+                          Actions* actions) {
+  Pending& pending = requests_.at(id);
+  pending.maybe_ran = true;
+  pending.last_error = error;
+  if (!pending.open.empty()) return;
+  if (!MayRepeat(now, pending, NameOf(error).data(), kPermille))
+    return Fail(now, id, error, actions);
+  StartAttempt(now, id, actions);
+}
+
+/// Whether a request that may have run goes to another target, within
+/// `share_permille` of the budget.
+bool Forwarder::MayRepeat(TimeMs now, const Pending& pending,
+                          const char* reason, int64_t share_permille) {
+  bool may = pending.route->idempotent &&
+             pending.arrivals < pending.route->max_attempts &&
+             now + settings_.attempt_min_ms < pending.deadline;
+  if (!may) return false;
+  if (!budget_.Take(now, pending.service, share_permille)) {
+    counters_.Add("forward_repeats_denied_total", reason);
+    return false;
+  }
+  counters_.Add("forward_repeats_total", reason);
+  return true;
+}
+
+/// Ends a request with an answer of this system's own. Only if no attempt can
+/// have run does it say so.
+void Forwarder::Fail(TimeMs now, uint64_t id, ErrorKind error,
+                     Actions* actions) {
+  Pending& pending = requests_.at(id);
+  if (pending.failure) {
+    MeshAnswer failed;
+    failed.run_state = RunState::kRan;
+    failed.response = std::move(*pending.failure);
+    return Finish(now, id, std::move(failed), actions);
+  }
+  MeshAnswer answer;
+  answer.error = error;
+  bool not_run = !pending.maybe_ran;
+  answer.run_state = not_run ? RunState::kNotRun : RunState::kUnknown;
+  if (not_run) {
+    answer.retry_after_ms = pending.retry_after_ms > 0
+                                ? pending.retry_after_ms
+                                : settings_.no_target_retry_ms;
+  }
+  counters_.Add("forward_failures_total", std::string(NameOf(error)));
+  LogRecord record{LogLevel::kWarning,
+                   "request_failed",
+                   {{"request", pending.request.request_id},
+                    {"error", std::string(NameOf(error))},
+                    {"run_state", std::string(NameOf(answer.run_state))},
+                    {"route", pending.route->id},
+                    {"service", pending.service},
+                    {"version", std::to_string(pending.table->Version())},
+                    {"target", MemberName(pending.target)},
+                    {"arrivals", std::to_string(pending.arrivals)},
+                    {"refusals", std::to_string(pending.refusals)},
+                    {"elapsed_ms", std::to_string(now - pending.arrived)},
+                    {"retry_after_ms", std::to_string(answer.retry_after_ms)}}};
+  actions->push_back(std::move(record));
+  Finish(now, id, std::move(answer), actions);
+}
+
+void Forwarder::Finish(TimeMs now, uint64_t id, MeshAnswer answer,
+                       Actions* actions) {
+  auto it = requests_.find(id);
+  Pending& pending = it->second;
+  CancelOpen(&pending, actions);
+  if (!answer.error) {
+    counters_.Add("forward_answered_total", pending.service);
+    actions->push_back(
+        LogRecord{LogLevel::kDebug,
+                  "request_answered",
+                  {{"request", pending.request.request_id},
+                   {"route", pending.route->id},
+                   {"service", pending.service},
+                   {"version", std::to_string(pending.table->Version())},
+                   {"target", MemberName(pending.target)},
+                   {"status", std::to_string(answer.response.status)},
+                   {"arrivals", std::to_string(pending.arrivals)},
+                   {"refusals", std::to_string(pending.refusals)},
+                   {"elapsed_ms", std::to_string(now - pending.arrived)}}});
+  }
+  actions->push_back(AnswerClient{id, std::move(answer)});
+  requests_.erase(it);
+}
+
+/// Refuses a request that never came into hand.
+void Forwarder::Refuse(uint64_t id, ErrorKind error, int64_t retry_after_ms,
+                       const std::string& request_id, Actions* actions) {
+  counters_.Add("forward_failures_total", std::string(NameOf(error)));
+  std::string version = table_ ? std::to_string(table_->Version()) : "none";
+  actions->push_back(LogRecord{LogLevel::kWarning,
+                               "request_refused",
+                               {{"request", request_id},
+                                {"error", std::string(NameOf(error))},
+                                {"version", version}}});
+  MeshAnswer answer;
+  answer.error = error;
+  answer.run_state = RunState::kNotRun;
+  answer.retry_after_ms = retry_after_ms;
+  actions->push_back(AnswerClient{id, std::move(answer)});
+}
+
+void Forwarder::OnAbandoned(TimeMs now, uint64_t id, Actions* actions) {
+  auto it = requests_.find(id);
+  if (it == requests_.end()) return;
+  Pending& pending = it->second;
+  counters_.Add("forward_abandoned_total");
+  actions->push_back(
+      LogRecord{LogLevel::kInfo,
+                "request_abandoned",
+                {{"request", pending.request.request_id},
+                 {"route", pending.route->id},
+                 {"target", MemberName(pending.target)},
+                 {"elapsed_ms", std::to_string(now - pending.arrived)}}});
+  CancelOpen(&pending, actions);
+  requests_.erase(it);
+}
+
+void Forwarder::OnNotSent(TimeMs now, uint64_t attempt, Actions* actions) {
+  auto found = request_by_attempt_.find(attempt);
+  if (found == request_by_attempt_.end()) return;
+  uint64_t id = found->second;
+  Pending& pending = requests_.at(id);
+  MemberId target = EndAttempt(&pending, attempt);
+  pending.excluded.push_back(target);
+  board_.Avoid(now, target);
+  OnRefused(now, id, ErrorKind::kTargetUnreachable, 0, false, actions);
+}
+
+void Forwarder::OnTargetLost(TimeMs now, MemberId target, Actions* actions) {
+  std::vector<std::pair<uint64_t, uint64_t>> lost;
+  for (const auto& [id, pending] : requests_) {
+    for (const Attempt& attempt : pending.open) {
+      if (attempt.target == target) lost.emplace_back(id, attempt.id);
+    }
+  }
+  for (const auto& [id, attempt] : lost) {
+    Pending& pending = requests_.at(id);
+    EndAttempt(&pending, attempt);
+    pending.excluded.push_back(target);
+    ++pending.arrivals;
+    OnUnknown(now, id, ErrorKind::kTargetLost, actions);
+  }
+  board_.Avoid(now, target);
+}
+
+void Forwarder::Tick(TimeMs now, Actions* actions) {
+  std::vector<uint64_t> due;
+  for (const auto& [id, pending] : requests_) {
+    bool late = now >= pending.deadline || now >= pending.second_offer_at;
+    if (late) due.push_back(id);
+  }
+  for (uint64_t id : due) {
+    Pending& pending = requests_.at(id);
+    if (now >= pending.deadline) {
+      pending.maybe_ran = pending.maybe_ran || !pending.open.empty();
+      Fail(now, id, ErrorKind::kTimeout, actions);
+      continue;
+    }
+    OfferAgain(now, id, actions);
+  }
+}
+
+/// Offers a request that has waited long to a second target; the first goes on,
+/// and whoever answers first serves it.
+void Forwarder::OfferAgain(TimeMs now, uint64_t id, Actions* actions) {
+  Pending& pending = requests_.at(id);
+  pending.second_offer_at = pending.deadline;
+  if (pending.open.empty()) return;
+  MemberId first = pending.open.front().target;
+  ++pending.arrivals;  // The first attempt may be running.
+  bool may = MayRepeat(now, pending, "slow", kPermille);
+  --pending.arrivals;
+  if (!may) return;
+  board_.OnOutcome(now, first, true);
+  pending.excluded.push_back(first);
+  StartAttempt(now, id, actions);
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/mesh/forwarder.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "banyanloft/core/counters.h"
+#include "banyanloft/core/log.h"
+#include "banyanloft/core/random.h"
+#include "banyanloft/mesh/mesh_message.h"
+#include "banyanloft/mesh/retry_budget.h"
+#include "banyanloft/mesh/route_table.h"
+#include "banyanloft/mesh/target_board.h"
+#include "banyanloft/mesh/traffic_splitter.h"
+
+namespace banyanloft {
+
+/// Settings of the first daemon's part of a request.
+struct ForwarderSettings {
+  std::string caller;  ///< Service of the backend server beside this daemon.
+  RetryBudgetSettings budget;
+  TargetBoardSettings board;
+  /// Targets that may refuse a request unrun before its client is told; a
+  /// refusal costs a round trip and no work.
+  int max_refusals = 3;
+  /// Part of the time left after which an idempotent request that is still
+  /// without an answer is offered to a second target as well, in 1/1000.
+  int64_t second_offer_permille = 550;
+  int64_t attempt_min_ms = 100;  ///< Shortest time for one attempt, in ms.
+  /// Part of the retry budget open to requests that a backend server ran and
+  /// failed, in 1/1000. Failures often come from its own nested calls: running
+  /// it again repeats those too.
+  int64_t failed_share_permille = 250;
+  /// Time kept back from a client's deadline for the way of the answer, in ms.
+  int64_t answer_margin_ms = 10;
+  /// Pause asked of clients while no target is known, in ms: the time in which
+  /// membership spreads a new target.
+  int64_t no_target_retry_ms = 400;
+  int64_t not_ready_retry_ms = 500;  ///< The same while no version is known.
+  size_t max_requests = 20000;       ///< Most requests in hand.
+};
+
+/// What the forwarder needs to know of other daemons.
+class CandidateDirectory {
+ public:
+  virtual ~CandidateDirectory() = default;
+  /// Members whose backend server runs the service and takes new work.
+  virtual std::vector<TargetCandidate> CandidatesOf(
+      const std::string& service) const = 0;
+};
+
+/// Answers a client.
+struct AnswerClient {
+  uint64_t request = 0;
+  MeshAnswer answer;
+};
+/// Sends an attempt to a target's daemon.
+struct SendForward {
+  MemberId target = 0;
+  ForwardRequest request;
+};
+/// Withdraws an attempt.
+struct SendCancelForward {
+  MemberId target = 0;
+  CancelForward cancel;
+};
+using ForwarderAction =
+    std::variant<AnswerClient, SendForward, SendCancelForward, LogRecord>;
+
+/// The first daemon's part of a request: finds its route, splits traffic,
+/// chooses targets, repeats what is safe within the shared budget and answers
+/// the client once. Deterministic; not thread safe; free of I/O.
+class Forwarder {
+ public:
+  using Actions = std::vector<ForwarderAction>;
+
+  Forwarder(const ForwarderSettings& settings, uint64_t seed,
+            const CandidateDirectory* directory);
+
+  /// The version in force; requests in hand keep theirs.
+  void SetTable(RouteTablePtr table) { table_ = std::move(table); }
+  /// Members among which the retry budget is shared.
+  void SetMembers(size_t members) { budget_.SetMembers(members); }
+  /// A client's request.
+  void OnRequest(TimeMs now, uint64_t id, MeshRequest request,
+                 Actions* actions);
+  /// Refuses a client's request that does not come into hand.
+  void Refuse(uint64_t id, ErrorKind error, int64_t retry_after_ms,
+              const std::string& request_id, Actions* actions);
+  /// The client went away.
+  void OnAbandoned(TimeMs now, uint64_t id, Actions* actions);
+  /// An attempt was answered by a member's daemon.
+  void OnAnswer(TimeMs now, ForwardAnswer answer, Actions* actions);
+  /// The message of an attempt never left this daemon.
+  void OnNotSent(TimeMs now, uint64_t attempt, Actions* actions);
+  /// The link to a member was lost with attempts under way.
+  void OnTargetLost(TimeMs now, MemberId target, Actions* actions);
+  /// Deadlines; to be called every 20 ms or so.
+  void Tick(TimeMs now, Actions* actions);
+
+  size_t InHand() const { return requests_.size(); }
+  const Counters& Counts() const { return counters_; }
+  const TargetBoard& Board() const { return board_; }
+
+ private:
+  struct Attempt {
+    uint64_t id = 0;
+    MemberId target = 0;
+  };
+  struct Pending {
+    RouteTablePtr table;
+    const HttpRoute* route = nullptr;
+    MeshRequest request;
+    std::string service;
+    TimeMs arrived;
+    TimeMs deadline;
+    int arrivals = 0;  ///< Attempts that a backend server may have got.
+    int refusals = 0;  ///< Attempts refused unrun.
+    bool maybe_ran = false;
+    std::vector<MemberId> excluded;
+    std::vector<Attempt> open;  ///< Attempts under way, the oldest first.
+    MemberId target = 0;        ///< Of the last attempt.
+    TimeMs second_offer_at;     ///< When another target is asked as well.
+    /// A backend server's failure, for the client if nothing better comes.
+    std::optional<HttpResponse> failure;
+    ErrorKind last_error = ErrorKind::kNoTarget;
+    int64_t retry_after_ms = 0;  ///< Shortest that a target asked for.
+  };
+
+  void StartAttempt(TimeMs now, uint64_t id, Actions* actions);
+  MemberId EndAttempt(Pending* pending, uint64_t attempt);
+  void CancelOpen(Pending* pending, Actions* actions);
+  void OnRefused(TimeMs now, uint64_t id, ErrorKind error,
+                 int64_t retry_after_ms, bool arrived, Actions* actions);
+  void OnUnknown(TimeMs now, uint64_t id, ErrorKind error, Actions* actions);
+  bool MayRepeat(TimeMs now, const Pending& pending, const char* reason,
+                 int64_t share_permille);
+  void OfferAgain(TimeMs now, uint64_t id, Actions* actions);
+  void Fail(TimeMs now, uint64_t id, ErrorKind error, Actions* actions);
+  void Finish(TimeMs now, uint64_t id, MeshAnswer answer, Actions* actions);
+
+  ForwarderSettings settings_;
+  const CandidateDirectory* directory_;
+  Random random_;
+  RouteTablePtr table_;
+  TrafficSplitter splitter_;
+  TargetBoard board_;
+  RetryBudget budget_;
+  std::map<uint64_t, Pending> requests_;
+  std::unordered_map<uint64_t, uint64_t> request_by_attempt_;
+  uint64_t next_attempt_;
+  Counters counters_;
+};
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/mesh/instance_registry.cc
@@ -0,0 +1,64 @@
+#include "banyanloft/mesh/instance_registry.h"
+
+#include <array>
+
+namespace banyanloft {
+
+const char* NameOf(InstanceState state) {
+  constexpr std::array<const char*, 4> kNames = {"unknown", "ready", "draining",
+                                                 "gone"};
+  return kNames[static_cast<size_t>(state)];
+}
+
+InstanceRegistry::Change InstanceRegistry::OnReport(
+    TimeMs now, const InstanceReport& report) {
+  if (report.address != address_) return Change::kIgnored;
+  bool same_start = report.id == last_.id && report.born_ms == last_.born_ms;
+  if (same_start) {
+    if (report.sequence <= last_.sequence) return Change::kIgnored;
+    if (state_ == InstanceState::kGone) return Change::kIgnored;
+  } else if (report.born_ms < last_.born_ms) {
+    return Change::kIgnored;
+  }
+
+  reported_at_ = now;
+  bool was_known = !last_.id.empty();
+  InstanceReport before = last_;
+  InstanceState state_before = state_;
+  last_ = report;
+  // A start that has said that it leaves does not come back.
+  bool stays_draining = same_start && state_ == InstanceState::kDraining;
+  state_ = report.draining || stays_draining ? InstanceState::kDraining
+                                             : InstanceState::kReady;
+  if (was_known && !same_start) return Change::kStarted;
+  bool same = was_known && state_ == state_before &&
+              before.slots == last_.slots && before.service == last_.service;
+  return same ? Change::kNone : Change::kUpdated;
+}
+
+InstanceRegistry::Change InstanceRegistry::OnLeft(TimeMs now,
+                                                  const std::string& id) {
+  if (!last_.id.empty() && id != last_.id) return Change::kIgnored;
+  last_.id = id;
+  reported_at_ = now;
+  bool changed = state_ != InstanceState::kGone;
+  state_ = InstanceState::kGone;
+  return changed ? Change::kUpdated : Change::kNone;
+}
+
+InstanceRegistry::Change InstanceRegistry::OnHealthy(
+    TimeMs now, const std::string& id, const std::string& service) {
+  if (state_ != InstanceState::kUnknown) return Change::kNone;
+  if (!last_.id.empty() && last_.id != id) {
+    // Another start, whose own reports will tell the rest.
+    last_ = InstanceReport();
+  }
+  last_.id = id;
+  last_.address = address_;
+  if (last_.service.empty()) last_.service = service;
+  reported_at_ = now;
+  state_ = InstanceState::kReady;
+  return Change::kUpdated;
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/mesh/mesh_node.cc
@@ -0,0 +1,448 @@
+#include "banyanloft/mesh/mesh_node.h"
+
+#include <algorithm>
+
+#include "banyanloft/core/digest.h"
+#include "banyanloft/distribution/head.h"
+#include "banyanloft/membership/fleet_choice.h"
+
+namespace banyanloft {
+namespace {
+
+constexpr int64_t kMembershipTickMs = 50;
+/// Members that a new version is told to: enough for the zone, and some beyond.
+constexpr size_t kRumoursNear = 3;
+constexpr size_t kRumoursAny = 3;
+/// Pause asked of clients that a planned stop refuses, in ms: they come back on
+/// a new connection, to another daemon.
+constexpr int64_t kMinRetryAfterMs = 50;
+/// Order of messages on a link: answers and withdrawals hold up nothing else.
+constexpr int kFirstRank = 0;
+
+enum class SeedStream : uint64_t {
+  kMembership = 1,
+  kRendezvous,
+  kConfig,
+  kForwarder,
+  kRunner,
+  kWatchDelay
+};
+
+uint64_t SeedOf(uint64_t seed, SeedStream stream) {
+  return FastHash("mesh", seed * 16 + static_cast<uint64_t>(stream));
+}
+
+MemberRecord SelfRecord(const MeshNodeSettings& settings, MemberId id) {
+  MemberRecord self;
+  self.id = id;
+  self.zone = settings.zone;
+  self.link = settings.link_address;
+  self.gossip = settings.gossip_address;
+  return self;
+}
+
+}  // namespace
+
+MeshNode::MeshNode(const MeshNodeSettings& settings, MemberId id, TimeMs now,
+                   const ConfigurationReader* reader)
+    : settings_(settings),
+      id_(id),
+      start_(now),
+      watch_from_(now +
+                  WatchDelayMs(settings.start_window_ms,
+                               SeedOf(settings.seed, SeedStream::kWatchDelay))),
+      membership_(settings.membership, SelfRecord(settings, id),
+                  SeedOf(settings.seed, SeedStream::kMembership), now, nullptr),
+      rendezvous_(settings.rendezvous, settings.zone, settings.gossip_address,
+                  SeedOf(settings.seed, SeedStream::kRendezvous), now),
+      config_(settings.config, SeedOf(settings.seed, SeedStream::kConfig), now,
+              reader),
+      forwarder_(settings.forwarder,
+                 SeedOf(settings.seed, SeedStream::kForwarder), this),
+      runner_(settings.runner, SeedOf(settings.seed, SeedStream::kRunner),
+              now) {}
+
+void MeshNode::OnRequest(TimeMs now, uint64_t request, MeshRequest message,
+                         Actions* actions) {
+  Forwarder::Actions list;
+  bool ending = draining_ && now - drain_began_ >= settings_.drain_accept_ms;
+  if (ending) {
+    forwarder_.Refuse(request, ErrorKind::kDraining, kMinRetryAfterMs,
+                      message.request_id, &list);
+  } else {
+    forwarder_.OnRequest(now, request, std::move(message), &list);
+  }
+  CarryForwarder(now, std::move(list), actions);
+}
+
+void MeshNode::OnAbandoned(TimeMs now, uint64_t request, Actions* actions) {
+  Forwarder::Actions list;
+  forwarder_.OnAbandoned(now, request, &list);
+  CarryForwarder(now, std::move(list), actions);
+}
+
+void MeshNode::OnPeerMessage(TimeMs now, const std::string& link,
+                             PeerMessage message, Actions* actions) {
+  Forwarder::Actions requests;
+  BackendRunner::Actions runs;
+  ConfigFollower::Actions changes;
+  if (auto* forward = std::get_if<ForwardRequest>(&message)) {
+    runner_.OnForward(now, link, std::move(*forward), &runs);
+  } else if (auto* answer = std::get_if<ForwardAnswer>(&message)) {
+    forwarder_.OnAnswer(now, std::move(*answer), &requests);
+  } else if (auto* cancel = std::get_if<CancelForward>(&message)) {
+    runner_.OnCancel(now, link, cancel->attempt, &runs);
+  } else if (auto* ask = std::get_if<DocumentRequest>(&message)) {
+    actions->push_back(
+        SendPeer{link, kFirstRank, config_.OnDocumentRequest(*ask)});
+  } else if (auto* document = std::get_if<DocumentReply>(&message)) {
+    config_.OnDocument(now, *document, &changes);
+  } else {
+    counters_.Add("peer_messages_unexpected_total");
+  }
+  CarryForwarder(now, std::move(requests), actions);
+  CarryRunner(now, std::move(runs), actions);
+  CarryConfig(now, std::move(changes), actions);
+}
+
+void MeshNode::OnPeerNotSent(TimeMs now, const PeerMessage& message,
+                             Actions* actions) {
+  const auto* forward = std::get_if<ForwardRequest>(&message);
+  if (forward == nullptr) {
+    counters_.Add("peer_messages_dropped_total");
+    return;
+  }
+  Forwarder::Actions list;
+  forwarder_.OnNotSent(now, forward->attempt, &list);
+  CarryForwarder(now, std::move(list), actions);
+}
+
+void MeshNode::OnPeerLost(TimeMs now, const std::string& link,
+                          Actions* actions) {
+  actions->push_back(LogRecord{LogLevel::kInfo, "link_lost", {{"link", link}}});
+  membership_.OnLinkLost(now, link);
+  BackendRunner::Actions runs;
+  runner_.OnPeerLost(now, link, &runs);
+  CarryRunner(now, std::move(runs), actions);
+  Forwarder::Actions requests;
+  for (const auto& [id, member] : membership_.Others()) {
+    if (member.link == link) forwarder_.OnTargetLost(now, id, &requests);
+  }
+  CarryForwarder(now, std::move(requests), actions);
+}
+
+void MeshNode::OnDatagram(TimeMs now, const Datagram& datagram,
+                          Actions* actions) {
+  std::vector<DatagramOut> out;
+  membership_.OnDatagram(now, datagram, &out);
+  CarryDatagrams(std::move(out), actions);
+  std::vector<CrashStrike> news = runner_.OnStrikes(now, datagram.strikes);
+  if (!news.empty()) membership_.SpreadStrikes(news);
+  ConfigFollower::Actions changes;
+  config_.OnRumour(now, datagram.from_link, datagram.version, &changes);
+  CarryConfig(now, std::move(changes), actions);
+}
+
+void MeshNode::OnStore(TimeMs now, const PlatformReply& reply,
+                       Actions* actions) {
+  if (reply.id == rendezvous_call_)
+    return OnRendezvousRead(now, reply, actions);
+  if (reply.id != config_call_) return;
+  config_call_ = 0;
+  ConfigFollower::Actions changes;
+  config_.OnStore(now, reply, &changes);
+  CarryConfig(now, std::move(changes), actions);
+}
+
+void MeshNode::OnReport(TimeMs now, const InstanceReport& report,
+                        Actions* actions) {
+  BackendRunner::Actions list;
+  runner_.OnReport(now, report, &list);
+  CarryRunner(now, std::move(list), actions);
+}
+
+void MeshNode::OnLeft(TimeMs now, const std::string& instance,
+                      Actions* actions) {
+  BackendRunner::Actions list;
+  runner_.OnLeft(now, instance, &list);
+  CarryRunner(now, std::move(list), actions);
+}
+
+void MeshNode::OnResult(TimeMs now, RunResult result, Actions* actions) {
+  BackendRunner::Actions list;
+  runner_.OnResult(now, std::move(result), &list);
+  CarryRunner(now, std::move(list), actions);
+}
+
+void MeshNode::OnProbed(TimeMs now, bool up, const std::string& instance,
+                        Actions* actions) {
+  BackendRunner::Actions list;
+  runner_.OnProbed(now, up, instance, &list);
+  CarryRunner(now, std::move(list), actions);
+}
+
+void MeshNode::OnOwnPause(TimeMs now, int64_t paused_ms, Actions* actions) {
+  actions->push_back(LogRecord{LogLevel::kWarning,
+                               "own_pause",
+                               {{"paused_ms", std::to_string(paused_ms)}}});
+  counters_.Add("own_pauses_total");
+  BackendRunner::Actions list;
+  runner_.OnOwnPause(now, &list);
+  CarryRunner(now, std::move(list), actions);
+}
+
+void MeshNode::BeginDrain(TimeMs now, Actions* actions) {
+  if (draining_) return;
+  draining_ = true;
+  drain_began_ = now;
+  actions->push_back(
+      LogRecord{LogLevel::kInfo,
+                "drain_began",
+                {{"requests", std::to_string(forwarder_.InHand())},
+                 {"runs", std::to_string(runner_.InHand())}}});
+  UpdateStanding(now);
+}
+
+bool MeshNode::Ready(TimeMs now) const {
+  bool met_others =
+      membership_.AliveCount() > 1 || now - start_ >= settings_.lonely_ready_ms;
+  return config_.Table() != nullptr && met_others && !draining_;
+}
+
+/// Brings what is announced in line with the backend server's state.
+void MeshNode::UpdateStanding(TimeMs now) {
+  MemberState state = MemberState::kWarming;
+  switch (runner_.State()) {
+    case InstanceState::kReady:
+      state = MemberState::kReady;
+      break;
+    case InstanceState::kDraining:
+    case InstanceState::kGone:
+      state = MemberState::kDraining;
+      break;
+    case InstanceState::kUnknown:
+      break;
+  }
+  if (draining_) state = MemberState::kDraining;
+  membership_.Announce(now, state, runner_.Service(), runner_.Instance().slots);
+}
+
+void MeshNode::Tick(TimeMs now, Actions* actions) {
+  Forwarder::Actions requests;
+  forwarder_.SetMembers(membership_.AliveCount());
+  forwarder_.Tick(now, &requests);
+  CarryForwarder(now, std::move(requests), actions);
+  BackendRunner::Actions runs;
+  runner_.Tick(now, &runs);
+  CarryRunner(now, std::move(runs), actions);
+  if (now >= next_membership_tick_) {
+    next_membership_tick_ = now + kMembershipTickMs;
+    std::vector<DatagramOut> datagrams;
+    membership_.Tick(now, &datagrams);
+    CarryDatagrams(std::move(datagrams), actions);
+    bool watching = Watching(now);
+    ConfigFollower::Actions changes;
+    config_.Tick(now, watching, &changes);
+    CarryConfig(now, std::move(changes), actions);
+    TickRendezvous(now, watching, actions);
+  }
+  if (repeat_rumour_ && now >= repeat_rumour_at_) {
+    repeat_rumour_ = false;
+    SendRumours(actions);
+  }
+  if (draining_ && !exit_sent_) TickDrain(now, actions);
+}
+
+void MeshNode::TickDrain(TimeMs now, Actions* actions) {
+  int64_t drained_ms = now - drain_began_;
+  bool idle = forwarder_.InHand() + runner_.InHand() == 0;
+  bool finished = idle && drained_ms >= settings_.drain_min_ms;
+  if (!finished && drained_ms < settings_.drain_max_ms) return;
+  exit_sent_ = true;
+  membership_.Announce(now, MemberState::kGone, runner_.Service(), 0);
+  std::vector<DatagramOut> datagrams;
+  membership_.Tick(now, &datagrams);
+  CarryDatagrams(std::move(datagrams), actions);
+  actions->push_back(ReadyToExit{});
+}
+
+bool MeshNode::Watching(TimeMs now) const {
+  // While the fleet starts, everyone is the first of a zone in its own view.
+  if (now < watch_from_ || !membership_.Quiet(now)) return false;
+  return WatchesForZone(membership_, settings_.zone, id_,
+                        settings_.watchers_per_zone);
+}
+
+void MeshNode::TickRendezvous(TimeMs now, bool watching, Actions* actions) {
+  bool timed_out = rendezvous_call_ != 0 && now - rendezvous_called_at_ >
+                                                settings_.rendezvous.timeout_ms;
+  if (timed_out) {
+    rendezvous_call_ = 0;
+    rendezvous_.OnFailure();
+  }
+  bool lonely = membership_.AliveCount() == 1;
+  if (rendezvous_call_ != 0 || !rendezvous_.ReadDue(now, lonely, watching))
+    return;
+  PlatformCall call;
+  call.type = PlatformCall::Type::kList;
+  call.key = RendezvousKey("");
+  rendezvous_call_ = CallStore(std::move(call), actions);
+  rendezvous_called_at_ = now;
+}
+
+void MeshNode::OnRendezvousRead(TimeMs now, const PlatformReply& reply,
+                                Actions* actions) {
+  rendezvous_call_ = 0;
+  if (reply.error) {
+    counters_.Add("rendezvous_failures_total");
+    return rendezvous_.OnFailure();
+  }
+  std::vector<Rendezvous::Entry> entries;
+  size_t prefix = RendezvousKey("").size();
+  for (const PlatformObject& object : reply.objects)
+    entries.push_back(
+        {object.key.substr(prefix), object.revision, object.value});
+  membership_.Meet(rendezvous_.OnRead(entries));
+
+  ZoneAddresses zone = AddressesOfZone(membership_, settings_.zone);
+  std::optional<Rendezvous::Write> write =
+      rendezvous_.WriteDue(Watching(now), zone.live, zone.dead);
+  if (!write) return;
+  PlatformCall call;
+  call.type = PlatformCall::Type::kWrite;
+  call.key = RendezvousKey(settings_.zone);
+  call.value = write->value;
+  call.expected_revision = write->expected_revision;
+  CallStore(std::move(call), actions);
+}
+
+uint64_t MeshNode::CallStore(PlatformCall call, Actions* actions) {
+  call.id = next_store_call_++;
+  uint64_t id = call.id;
+  counters_.Add("store_calls_total");
+  actions->push_back(std::move(call));
+  return id;
+}
+
+void MeshNode::CarryForwarder(TimeMs now, Forwarder::Actions list,
+                              Actions* actions) {
+  for (ForwarderAction& action : list) {
+    if (auto* send = std::get_if<SendForward>(&action)) {
+      if (send->target != id_) {
+        int rank = UrgencyOf(send->request.nested, send->request.priority);
+        actions->push_back(
+            SendPeer{LinkOf(send->target), rank, std::move(send->request)});
+        continue;
+      }
+      BackendRunner::Actions runs;
+      runner_.OnForward(now, "", std::move(send->request), &runs);
+      CarryRunner(now, std::move(runs), actions);
+    } else if (auto* cancel = std::get_if<SendCancelForward>(&action)) {
+      if (cancel->target != id_) {
+        actions->push_back(
+            SendPeer{LinkOf(cancel->target), kFirstRank, cancel->cancel});
+        continue;
+      }
+      BackendRunner::Actions runs;
+      runner_.OnCancel(now, "", cancel->cancel.attempt, &runs);
+      CarryRunner(now, std::move(runs), actions);
+    } else if (auto* answer = std::get_if<AnswerClient>(&action)) {
+      actions->push_back(std::move(*answer));
+    } else {
+      actions->push_back(std::move(std::get<LogRecord>(action)));
+    }
+  }
+}
+
+void MeshNode::CarryRunner(TimeMs now, BackendRunner::Actions list,
+                           Actions* actions) {
+  for (BackendRunnerAction& action : list) {
+    if (auto* answer = std::get_if<SendForwardAnswer>(&action)) {
+      if (!answer->to.link.empty()) {
+        actions->push_back(
+            SendPeer{answer->to.link, kFirstRank, std::move(answer->answer)});
+        continue;
+      }
+      Forwarder::Actions requests;
+      forwarder_.OnAnswer(now, std::move(answer->answer), &requests);
+      CarryForwarder(now, std::move(requests), actions);
+    } else if (auto* strikes = std::get_if<SpreadCrashStrikes>(&action)) {
+      membership_.SpreadStrikes(strikes->strikes);
+    } else if (auto* start = std::get_if<StartRun>(&action)) {
+      actions->push_back(std::move(*start));
+    } else if (auto* cancel = std::get_if<CancelRunOnBackend>(&action)) {
+      actions->push_back(*cancel);
+    } else if (auto* record = std::get_if<LogRecord>(&action)) {
+      actions->push_back(std::move(*record));
+    } else {
+      actions->push_back(ProbeInstance{});
+    }
+  }
+  UpdateStanding(now);
+}
+
+void MeshNode::CarryConfig(TimeMs now, ConfigFollower::Actions list,
+                           Actions* actions) {
+  for (ConfigFollowerAction& action : list) {
+    if (auto* call = std::get_if<PlatformCall>(&action)) {
+      config_call_ = CallStore(std::move(*call), actions);
+    } else if (auto* pull = std::get_if<PullDocument>(&action)) {
+      actions->push_back(SendPeer{pull->link, kFirstRank, pull->request});
+    } else if (auto* adopted = std::get_if<TableAdopted>(&action)) {
+      forwarder_.SetTable(std::move(adopted->table));
+      SendRumours(actions);
+      repeat_rumour_ = true;
+      repeat_rumour_at_ = now + settings_.rumour_repeat_ms;
+    } else {
+      actions->push_back(std::move(std::get<LogRecord>(action)));
+    }
+  }
+}
+
+void MeshNode::SendRumours(Actions* actions) {
+  for (const Peer& peer :
+       SomePeers(&membership_, settings_.zone, kRumoursNear, kRumoursAny)) {
+    Datagram datagram;
+    datagram.from = id_;
+    datagram.from_link = settings_.link_address;
+    datagram.zone = settings_.zone;
+    datagram.version = config_.Version();
+    actions->push_back(SendDatagram{peer.gossip, std::move(datagram)});
+  }
+}
+
+void MeshNode::CarryDatagrams(std::vector<DatagramOut> list, Actions* actions) {
+  for (DatagramOut& out : list) {
+    // An ack passed on for another member says nothing of this one's version.
+    if (out.datagram.from == id_) out.datagram.version = config_.Version();
+    actions->push_back(
+        SendDatagram{std::move(out.to), std::move(out.datagram)});
+  }
+}
+
+std::vector<TargetCandidate> MeshNode::CandidatesOf(
+    const std::string& service) const {
+  std::vector<TargetCandidate> candidates;
+  auto consider = [&](const MemberRecord& member) {
+    bool takes_work = member.state == MemberState::kReady &&
+                      member.health != MemberHealth::kUnreachable;
+    if (!takes_work || member.service != service) return;
+    candidates.push_back({member.id, member.zone == settings_.zone,
+                          member.health == MemberHealth::kSuspect});
+  };
+  consider(membership_.Self());
+  for (const auto& [id, member] : membership_.Others()) consider(member);
+  return candidates;
+}
+
+std::string MeshNode::LinkOf(MemberId id) const {
+  const MemberRecord* member = membership_.Find(id);
+  return member != nullptr ? member->link : "";
+}
+
+std::vector<const Counters*> MeshNode::AllCounters() const {
+  return {&membership_.Counts(), &config_.Counts(), &forwarder_.Counts(),
+          &runner_.Counts(), &counters_};
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/mesh/mesh_node.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "banyanloft/daemon/node_actions.h"
+#include "banyanloft/membership/membership.h"
+#include "banyanloft/membership/rendezvous.h"
+#include "banyanloft/mesh/backend_runner.h"
+#include "banyanloft/mesh/config_follower.h"
+#include "banyanloft/mesh/forwarder.h"
+#include "banyanloft/store/platform_message.h"
+
+namespace banyanloft {
+
+/// Settings of a forwarding daemon's decisions.
+struct MeshNodeSettings {
+  std::string zone;            ///< Availability zone of this instance.
+  std::string link_address;    ///< `ip:port` of its links (TCP).
+  std::string gossip_address;  ///< `ip:port` of its datagrams (UDP).
+  uint64_t seed = 1;           ///< Seed of every random choice.
+  int64_t start_window_ms =
+      100;  ///< Herds spread their first store calls over this time, in ms.
+  size_t watchers_per_zone = 2;  ///< Members of a zone that hold a watch.
+  /// A daemon that meets no other member is ready nevertheless after this, ms.
+  int64_t lonely_ready_ms = 3000;
+  /// A planned stop goes on serving at least this long, in ms: clients look at
+  /// readiness once a second and leave after two misses.
+  int64_t drain_min_ms = 2500;
+  /// From here on a planned stop refuses new requests, in ms: they might not
+  /// end before the process does.
+  int64_t drain_accept_ms = 2700;
+  int64_t drain_max_ms = 5200;     ///< End of a planned stop, in ms.
+  int64_t rumour_repeat_ms = 200;  ///< A new version is told twice, in ms.
+  MembershipSettings membership;
+  RendezvousSettings rendezvous;
+  ConfigFollowerSettings config;
+  ForwarderSettings forwarder;
+  BackendRunnerSettings runner;
+};
+
+using MeshNodeAction =
+    std::variant<AnswerClient, SendPeer, SendDatagram, PlatformCall, StartRun,
+                 CancelRunOnBackend, ProbeInstance, LogRecord, ReadyToExit>;
+
+/// All decisions of a forwarding daemon. Time and messages go in, actions come
+/// out. It owns the state machines and passes messages between them.
+/// Deterministic; not thread safe; free of I/O.
+class MeshNode final : private CandidateDirectory {
+ public:
+  using Actions = std::vector<MeshNodeAction>;
+
+  /// `reader` must outlive the node.
+  MeshNode(const MeshNodeSettings& settings, MemberId id, TimeMs now,
+           const ConfigurationReader* reader);
+
+  /// Clients.
+  void OnRequest(TimeMs now, uint64_t request, MeshRequest message,
+                 Actions* actions);
+  void OnAbandoned(TimeMs now, uint64_t request, Actions* actions);
+  /// Peers.
+  void OnPeerMessage(TimeMs now, const std::string& link, PeerMessage message,
+                     Actions* actions);
+  void OnPeerNotSent(TimeMs now, const PeerMessage& message, Actions* actions);
+  void OnPeerLost(TimeMs now, const std::string& link, Actions* actions);
+  void OnDatagram(TimeMs now, const Datagram& datagram, Actions* actions);
+  /// The store.
+  void OnStore(TimeMs now, const PlatformReply& reply, Actions* actions);
+  /// The backend server.
+  void OnReport(TimeMs now, const InstanceReport& report, Actions* actions);
+  void OnLeft(TimeMs now, const std::string& instance, Actions* actions);
+  void OnResult(TimeMs now, RunResult result, Actions* actions);
+  void OnProbed(TimeMs now, bool up, const std::string& instance,
+                Actions* actions);
+  /// This process did not run for a while.
+  void OnOwnPause(TimeMs now, int64_t paused_ms, Actions* actions);
+  /// Planned stop: unready at once, serves on, then emits ReadyToExit.
+  void BeginDrain(TimeMs now, Actions* actions);
+  /// Periodic duties; to be called every 20 ms or so.
+  void Tick(TimeMs now, Actions* actions);
+
+  /// True if clients should send new work here.
+  bool Ready(TimeMs now) const;
+  bool Draining() const { return draining_; }
+  const RouteTablePtr& Table() const { return config_.Table(); }
+  const Membership& Members() const { return membership_; }
+  const BackendRunner& Runner() const { return runner_; }
+  const Forwarder& Requests() const { return forwarder_; }
+  std::vector<const Counters*> AllCounters() const;
+
+ private:
+  std::vector<TargetCandidate> CandidatesOf(
+      const std::string& service) const override;
+
+  void CarryForwarder(TimeMs now, Forwarder::Actions list, Actions* actions);
+  void CarryRunner(TimeMs now, BackendRunner::Actions list, Actions* actions);
+  void CarryConfig(TimeMs now, ConfigFollower::Actions list, Actions* actions);
+  void CarryDatagrams(std::vector<DatagramOut> list, Actions* actions);
+  void SendRumours(Actions* actions);
+  void UpdateStanding(TimeMs now);
+  void TickRendezvous(TimeMs now, bool watching, Actions* actions);
+  void OnRendezvousRead(TimeMs now, const PlatformReply& reply,
+                        Actions* actions);
+  void TickDrain(TimeMs now, Actions* actions);
+  bool Watching(TimeMs now) const;
+  uint64_t CallStore(PlatformCall call, Actions* actions);
+  std::string LinkOf(MemberId id) const;
+
+  MeshNodeSettings settings_;
+  MemberId id_;
+  TimeMs start_;
+  TimeMs watch_from_;
+  Membership membership_;
+  Rendezvous rendezvous_;
+  ConfigFollower config_;
+  Forwarder forwarder_;
+  BackendRunner runner_;
+  bool draining_ = false;
+  bool exit_sent_ = false;
+  TimeMs drain_began_;
+  uint64_t next_store_call_ = 1;
+  uint64_t config_call_ = 0;
+  uint64_t rendezvous_call_ = 0;
+  TimeMs rendezvous_called_at_;
+  TimeMs next_membership_tick_;
+  TimeMs repeat_rumour_at_;
+  bool repeat_rumour_ = false;
+  Counters counters_;
+};
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/mesh/route_table.cc
@@ -0,0 +1,112 @@
+#include "banyanloft/mesh/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace banyanloft {
+namespace {
+
+std::string KeyOf(std::string_view host, std::string_view prefix) {
+  std::string key;
+  key.reserve(host.size() + 1 + prefix.size());
+  key.append(host);
+  key.push_back('\n');
+  key.append(prefix);
+  return key;
+}
+
+std::string LowerCaseHost(std::string_view host) {
+  std::string out(host.substr(0, host.find(':')));
+  std::transform(out.begin(), out.end(), out.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return out;
+}
+
+void FindRouteMistakes(const RouteConfiguration& configuration,
+                       const HttpRoute& route,
+                       std::vector<ConfigurationMistake>* mistakes) {
+  std::string place = "routes/" + route.id;
+  auto mistake = [&](const char* field, std::string problem) {
+    mistakes->push_back({place + "." + field, std::move(problem)});
+  };
+  const std::string& prefix = route.path_prefix;
+  if (route.host.empty()) mistake("host", "is empty");
+  if (prefix.empty() || prefix.front() != '/' || prefix.back() != '/')
+    mistake("path_prefix", "must begin and end with a slash");
+  if (route.timeout_ms <= 0) mistake("timeout", "must be above 0");
+  if (route.aim_ms <= 0) mistake("aim", "must be above 0");
+  if (route.max_attempts < 1) mistake("max_attempts", "must be at least 1");
+  if (route.priority < 0) mistake("priority", "must not be negative");
+  int64_t total = 0;
+  for (const WeightedService& part : route.split) {
+    total += std::max<int64_t>(0, part.weight);
+    if (part.weight < 0) mistake("split", "has a negative weight");
+    if (configuration.services.count(part.service) == 0)
+      mistake("split", "names the missing service " + part.service);
+  }
+  if (total <= 0) mistake("split", "has no service with a weight");
+}
+
+}  // namespace
+
+std::vector<ConfigurationMistake> FindMistakes(
+    const RouteConfiguration& configuration) {
+  std::vector<ConfigurationMistake> mistakes;
+  if (configuration.version == 0) mistakes.push_back({"version", "is 0"});
+  const ClientLimits& limits = configuration.limits;
+  bool bounded = limits.max_header_bytes > 0 && limits.max_body_bytes > 0 &&
+                 limits.header_timeout_ms > 0 && limits.idle_timeout_ms > 0;
+  if (!bounded) mistakes.push_back({"limits", "must all be above 0"});
+  std::unordered_map<std::string, const HttpRoute*> seen;
+  for (const HttpRoute& route : configuration.routes) {
+    FindRouteMistakes(configuration, route, &mistakes);
+    auto [other, fresh] =
+        seen.emplace(KeyOf(route.host, route.path_prefix), &route);
+    if (!fresh) {
+      mistakes.push_back({"routes/" + route.id,
+                          "has the host and prefix of " + other->second->id});
+    }
+  }
+  return mistakes;
+}
+
+Result<std::shared_ptr<const RouteTable>> RouteTable::Create(
+    RouteConfiguration configuration) {
+  std::vector<ConfigurationMistake> mistakes = FindMistakes(configuration);
+  if (!mistakes.empty()) {
+    return Error{ErrorKind::kInvalidConfiguration,
+                 mistakes[0].place + " " + mistakes[0].problem};
+  }
+  return std::shared_ptr<const RouteTable>(
+      new RouteTable(std::move(configuration)));
+}
+
+RouteTable::RouteTable(RouteConfiguration configuration)
+    : configuration_(std::move(configuration)) {
+  for (size_t i = 0; i < configuration_.routes.size(); ++i) {
+    const HttpRoute& route = configuration_.routes[i];
+    by_prefix_[KeyOf(route.host, route.path_prefix)] = i;
+  }
+}
+
+const HttpRoute* RouteTable::Match(std::string_view host,
+                                   std::string_view path) const {
+  std::string name = LowerCaseHost(host);
+  path = path.substr(0, path.find('?'));
+  // Every prefix ends with a slash: try the longest first.
+  size_t end = path.rfind('/');
+  while (end != std::string_view::npos) {
+    auto found = by_prefix_.find(KeyOf(name, path.substr(0, end + 1)));
+    if (found != by_prefix_.end()) return &configuration_.routes[found->second];
+    if (end == 0) break;
+    end = path.rfind('/', end - 1);
+  }
+  return nullptr;
+}
+
+const ForwardedService* RouteTable::FindService(const std::string& id) const {
+  auto it = configuration_.services.find(id);
+  return it == configuration_.services.end() ? nullptr : &it->second;
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/mesh/sidecar.cc
@@ -0,0 +1,499 @@
+#include "banyanloft/mesh/sidecar.h"
+
+#include <time.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+
+#include "banyanloft/core/time.h"
+#include "banyanloft/daemon/metrics_page.h"
+#include "banyanloft/http/http_client.h"
+#include "banyanloft/http/http_server.h"
+#include "banyanloft/links/gossip_socket.h"
+#include "banyanloft/links/link_hub.h"
+
+namespace banyanloft {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusUnavailable = 503;
+/// A jump of suspended time above this counts as a pause of this process, ms:
+/// shorter ones are lost in the links' own time-outs.
+constexpr int64_t kOwnPauseMs = 300;
+/// Time for which the last messages may leave before the process ends, in ms.
+constexpr int64_t kFarewellMs = 60;
+/// Connections to the store: one watch, and room for reads and writes.
+constexpr size_t kStoreConnections = 4;
+constexpr size_t kControlConnections = 16;
+
+/// Time that the machine spent suspended so far, in ms.
+int64_t SuspendedMs() {
+  timespec boot{};
+  timespec steady{};
+  clock_gettime(CLOCK_BOOTTIME, &boot);
+  clock_gettime(CLOCK_MONOTONIC, &steady);
+  int64_t seconds = boot.tv_sec - steady.tv_sec;
+  int64_t nanoseconds = boot.tv_nsec - steady.tv_nsec;
+  return seconds * 1000 + nanoseconds / 1000000;
+}
+
+HttpResponse TextResponse(int status, std::string body) {
+  HttpResponse response;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+class Sidecar::Impl : private LinkListener {
+ public:
+  Impl(SidecarSettings settings, const EdgeProtocol* protocol)
+      : settings_(std::move(settings)),
+        protocol_(protocol),
+        signals_(io_, SIGTERM, SIGINT, SIGHUP),
+        tick_(io_) {}
+
+  Result<bool> Start();
+  void Run(std::function<void()> reload);
+
+ private:
+  /// Clients' requests.
+  class ClientSide final : public HttpHandler {
+   public:
+    explicit ClientSide(Impl* daemon) : daemon_(daemon) {}
+    void OnRequest(uint64_t id, HttpRequest request) override {
+      daemon_->OnClientRequest(id, std::move(request));
+    }
+    void OnAbandoned(uint64_t id) override {
+      daemon_->Decide([&](TimeMs now, MeshNode::Actions* actions) {
+        daemon_->node_->OnAbandoned(now, id, actions);
+      });
+    }
+    HttpResponse OnRefused(ErrorKind kind) override {
+      return daemon_->Refusal(kind);
+    }
+
+   private:
+    Impl* daemon_;
+  };
+  /// Requests that are answered at once: readiness, reports, metrics.
+  class ServiceSide final : public HttpHandler {
+   public:
+    using Answerer = HttpResponse (Impl::*)(const HttpRequest&);
+    ServiceSide(Impl* daemon, Answerer answer)
+        : daemon_(daemon), answer_(answer) {}
+    void Serve(std::unique_ptr<HttpServer> server) {
+      server_ = std::move(server);
+    }
+    HttpServer* Server() { return server_.get(); }
+    void OnRequest(uint64_t id, HttpRequest request) override {
+      server_->Reply(id, (daemon_->*answer_)(request));
+    }
+    void OnAbandoned(uint64_t) override {}
+    HttpResponse OnRefused(ErrorKind kind) override {
+      return daemon_->Refusal(kind);
+    }
+
+   private:
+    Impl* daemon_;
+    Answerer answer_;
+    std::unique_ptr<HttpServer> server_;
+  };
+
+  void OnClientRequest(uint64_t id, HttpRequest request);
+  HttpResponse Refusal(ErrorKind kind) const;
+  HttpResponse AnswerReady(const HttpRequest& request);
+  HttpResponse AnswerControl(const HttpRequest& request);
+  HttpResponse AnswerMetrics(const HttpRequest& request);
+
+  void OnLinkMessage(const std::string& link, PeerMessage message) override;
+  void OnLinkNotSent(const std::string& link, PeerMessage message) override;
+  void OnLinkLost(const std::string& link) override;
+
+  void Decide(const std::function<void(TimeMs, MeshNode::Actions*)>& step);
+  void Carry(MeshNodeAction action);
+  void RunOnBackend(StartRun start);
+  void ProbeBackend();
+  void CallStore(PlatformCall call);
+  void NoticePause(TimeMs now);
+  void ApplyTable();
+  void ScheduleTick();
+  void WaitForSignal();
+  Result<bool> Listen();
+
+  SidecarSettings settings_;
+  const EdgeProtocol* protocol_;
+  SteadyClock clock_;
+  asio::io_context io_;
+  asio::signal_set signals_;
+  asio::steady_timer tick_;
+  std::function<void()> reload_;
+  std::unique_ptr<MeshNode> node_;
+  ClientSide client_side_{this};
+  ServiceSide ready_side_{this, &Impl::AnswerReady};
+  ServiceSide control_side_{this, &Impl::AnswerControl};
+  ServiceSide metrics_side_{this, &Impl::AnswerMetrics};
+  std::unique_ptr<HttpServer> client_server_;
+  std::unique_ptr<LinkHub> links_;
+  std::unique_ptr<GossipSocket> gossip_;
+  std::unique_ptr<HttpClient> backend_;
+  std::unique_ptr<HttpClient> store_;
+  RouteTablePtr applied_;
+  int64_t suspended_ms_ = 0;
+  uint64_t next_probe_ = 1;
+  uint64_t refused_inputs_ = 0;
+};
+
+Result<bool> Sidecar::Impl::Listen() {
+  HttpServerSettings clients;
+  clients.listen = settings_.clients;
+  clients.max_connections = settings_.max_clients;
+  client_server_ = std::make_unique<HttpServer>(io_, clients, &client_side_);
+  auto serve = [this](ServiceSide* side, const Endpoint& listen) {
+    HttpServerSettings server;
+    server.listen = listen;
+    server.max_connections = kControlConnections;
+    side->Serve(std::make_unique<HttpServer>(io_, server, side));
+    return side->Server()->Start();
+  };
+  LinkSettings link;
+  link.listen = settings_.link;
+  link.secret = settings_.fleet;
+  link.seed = settings_.node.seed;
+  link.handshake_timeout_ms = 500;
+  LinkListener* listener = this;
+  links_ = std::make_unique<LinkHub>(io_, link, listener);
+  gossip_ = std::make_unique<GossipSocket>(
+      io_, settings_.fleet, [this](Datagram datagram) {
+        Decide([&](TimeMs now, MeshNode::Actions* actions) {
+          node_->OnDatagram(now, datagram, actions);
+        });
+      });
+  std::vector<Result<Endpoint>> results;
+  results.push_back(client_server_->Start());
+  results.push_back(serve(&ready_side_, settings_.ready));
+  results.push_back(serve(&control_side_, settings_.control));
+  if (settings_.metrics.port != 0)
+    results.push_back(serve(&metrics_side_, settings_.metrics));
+  results.push_back(links_->Start());
+  results.push_back(gossip_->Start(settings_.gossip));
+  for (const Result<Endpoint>& result : results) {
+    if (const Error* error = ErrorOf(result)) return *error;
+  }
+  return true;
+}
+
+Result<bool> Sidecar::Impl::Start() {
+  Result<bool> listening = Listen();
+  if (ErrorOf(listening) != nullptr) return listening;
+
+  HttpClientSettings backend;
+  backend.server = settings_.backend;
+  backend.max_connections = settings_.max_backend_connections;
+  backend.idle_timeout_ms = settings_.backend_idle_ms;
+  backend.max_body_bytes = ClientLimits().max_body_bytes;
+  backend_ = std::make_unique<HttpClient>(io_, backend);
+  HttpClientSettings store;
+  store.server = settings_.store;
+  store.max_connections = kStoreConnections;
+  store_ = std::make_unique<HttpClient>(io_, store);
+
+  settings_.node.link_address = settings_.link.Text();
+  settings_.node.gossip_address = settings_.gossip.Text();
+  MemberId id = Random(settings_.node.seed).Bits() | 1;
+  node_ =
+      std::make_unique<MeshNode>(settings_.node, id, clock_.Now(), protocol_);
+  suspended_ms_ = SuspendedMs();
+  Log(LogLevel::kInfo, "daemon_started",
+      {{"name", settings_.name},
+       {"member", MemberName(id)},
+       {"zone", settings_.node.zone},
+       {"service", settings_.node.runner.service},
+       {"clients", settings_.clients.Text()},
+       {"backend", settings_.backend.Text()},
+       {"link", settings_.link.Text()}});
+  return true;
+}
+
+void Sidecar::Impl::Run(std::function<void()> reload) {
+  reload_ = std::move(reload);
+  WaitForSignal();
+  ScheduleTick();
+  io_.run();
+  Log(LogLevel::kInfo, "daemon_stopped",
+      {{"log_lines_dropped", std::to_string(DroppedLogLines())}});
+}
+
+void Sidecar::Impl::WaitForSignal() {
+  signals_.async_wait([this](boost::system::error_code error, int signal) {
+    if (error) return;
+    if (signal == SIGHUP) {
+      reload_();
+    } else {
+      client_server_->EndConnections();
+      Decide([this](TimeMs now, MeshNode::Actions* actions) {
+        node_->BeginDrain(now, actions);
+      });
+    }
+    WaitForSignal();
+  });
+}
+
+void Sidecar::Impl::ScheduleTick() {
+  tick_.expires_after(std::chrono::milliseconds(settings_.tick_ms));
+  tick_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    Decide([this](TimeMs now, MeshNode::Actions* actions) {
+      node_->Tick(now, actions);
+    });
+    ScheduleTick();
+  });
+}
+
+/// A process that was suspended holds beliefs of before, and peers have given
+/// it up: its links start afresh.
+void Sidecar::Impl::NoticePause(TimeMs now) {
+  int64_t suspended_ms = SuspendedMs();
+  int64_t paused_ms = suspended_ms - suspended_ms_;
+  suspended_ms_ = suspended_ms;
+  if (paused_ms < kOwnPauseMs) return;
+  MeshNode::Actions actions;
+  node_->OnOwnPause(now, paused_ms, &actions);
+  for (MeshNodeAction& action : actions) Carry(std::move(action));
+  links_->DropAll();
+}
+
+void Sidecar::Impl::Decide(
+    const std::function<void(TimeMs, MeshNode::Actions*)>& step) {
+  TimeMs now = clock_.Now();
+  NoticePause(now);
+  MeshNode::Actions actions;
+  step(now, &actions);
+  for (MeshNodeAction& action : actions) Carry(std::move(action));
+  if (node_->Table() != applied_) ApplyTable();
+}
+
+/// Brings the limits of a new version in force.
+void Sidecar::Impl::ApplyTable() {
+  applied_ = node_->Table();
+  const ClientLimits& limits = applied_->Limits();
+  HttpServerSettings next;
+  next.max_head_bytes = limits.max_header_bytes;
+  next.max_body_bytes = limits.max_body_bytes;
+  next.head_timeout_ms = limits.header_timeout_ms;
+  next.read_timeout_ms = settings_.body_timeout_ms;
+  next.idle_timeout_ms = limits.idle_timeout_ms;
+  client_server_->SetLimits(next);
+}
+
+void Sidecar::Impl::Carry(MeshNodeAction action) {
+  if (auto* answer = std::get_if<AnswerClient>(&action)) {
+    client_server_->Reply(answer->request, protocol_->WriteClientAnswer(
+                                               std::move(answer->answer)));
+  } else if (auto* peer = std::get_if<SendPeer>(&action)) {
+    links_->Send(peer->link, peer->rank_index, std::move(peer->message));
+  } else if (auto* datagram = std::get_if<SendDatagram>(&action)) {
+    gossip_->Send(datagram->to, datagram->datagram);
+  } else if (auto* call = std::get_if<PlatformCall>(&action)) {
+    CallStore(std::move(*call));
+  } else if (auto* start = std::get_if<StartRun>(&action)) {
+    RunOnBackend(std::move(*start));
+  } else if (auto* cancel = std::get_if<CancelRunOnBackend>(&action)) {
+    backend_->Cancel(cancel->run);
+  } else if (std::holds_alternative<ProbeInstance>(action)) {
+    ProbeBackend();
+  } else if (auto* record = std::get_if<LogRecord>(&action)) {
+    Log(*record);
+  } else {
+    tick_.cancel();
+    tick_.expires_after(std::chrono::milliseconds(kFarewellMs));
+    tick_.async_wait([this](boost::system::error_code) { io_.stop(); });
+  }
+}
+
+void Sidecar::Impl::OnClientRequest(uint64_t id, HttpRequest request) {
+  Result<MeshRequest> read =
+      protocol_->ReadClientRequest(std::move(request), settings_.clients.ip);
+  if (const Error* error = ErrorOf(read)) {
+    Log(LogLevel::kWarning, "request_malformed", {{"detail", error->detail}});
+    return client_server_->Reply(id, Refusal(error->kind));
+  }
+  Decide([&](TimeMs now, MeshNode::Actions* actions) {
+    node_->OnRequest(now, id, std::move(*ValueOf(read)), actions);
+  });
+}
+
+HttpResponse Sidecar::Impl::Refusal(ErrorKind kind) const {
+  MeshAnswer answer;
+  answer.error = kind;
+  answer.run_state = RunState::kNotRun;
+  return protocol_->WriteClientAnswer(std::move(answer));
+}
+
+HttpResponse Sidecar::Impl::AnswerReady(const HttpRequest& request) {
+  if (PathOf(request.target) != protocol_->ReadinessPath())
+    return TextResponse(kStatusNotFound, "unknown path\n");
+  bool ready = node_->Ready(clock_.Now());
+  return TextResponse(ready ? kStatusOk : kStatusUnavailable,
+                      ready ? "ready\n" : "not ready\n");
+}
+
+HttpResponse Sidecar::Impl::AnswerControl(const HttpRequest& request) {
+  Result<InstanceMessage> read = protocol_->ReadInstanceMessage(request);
+  if (const Error* error = ErrorOf(read)) {
+    ++refused_inputs_;
+    Log(LogLevel::kWarning, "instance_report_unreadable",
+        {{"detail", error->detail}});
+    return Refusal(error->kind);
+  }
+  Decide([&](TimeMs now, MeshNode::Actions* actions) {
+    if (auto* report = std::get_if<InstanceReport>(ValueOf(read))) {
+      node_->OnReport(now, *report, actions);
+    } else {
+      node_->OnLeft(now, std::get<InstanceLeave>(*ValueOf(read)).id, actions);
+    }
+  });
+  HttpResponse response = TextResponse(kStatusOk, "{}");
+  response.content_type = "application/json";
+  return response;
+}
+
+HttpResponse Sidecar::Impl::AnswerMetrics(const HttpRequest& request) {
+  if (PathOf(request.target) != "/metrics")
+    return TextResponse(kStatusNotFound, "unknown path\n");
+  std::vector<Counters> counters;
+  for (const Counters* group : node_->AllCounters()) counters.push_back(*group);
+  counters.push_back(links_->Counts());
+  counters.push_back(gossip_->Counts());
+  uint64_t version = applied_ ? applied_->Version() : 0;
+  std::vector<Gauge> gauges = {
+      {"version_in_force", "Version of the configuration in force",
+       static_cast<double>(version)},
+      {"members_alive", "Members believed to be alive, this one included",
+       static_cast<double>(node_->Members().AliveCount())},
+      {"requests_in_hand", "Requests of clients not yet answered",
+       static_cast<double>(node_->Requests().InHand())},
+      {"runs_running", "Requests at the backend server now",
+       static_cast<double>(node_->Runner().Gate().Running())},
+      {"runs_waiting", "Requests that wait for a slot now",
+       static_cast<double>(node_->Runner().Gate().Waiting())},
+      {"log_lines_dropped", "Log lines dropped since the start",
+       static_cast<double>(DroppedLogLines())},
+      {"ready", "1 if clients should send new work here",
+       node_->Ready(clock_.Now()) ? 1.0 : 0.0}};
+  return TextResponse(kStatusOk, MetricsText(counters, gauges));
+}
+
+void Sidecar::Impl::OnLinkMessage(const std::string& link,
+                                  PeerMessage message) {
+  Decide([&](TimeMs now, MeshNode::Actions* actions) {
+    node_->OnPeerMessage(now, link, std::move(message), actions);
+  });
+}
+
+void Sidecar::Impl::OnLinkNotSent(const std::string&, PeerMessage message) {
+  // Told while the node is being called: it must not be entered again.
+  auto shared = std::make_shared<PeerMessage>(std::move(message));
+  asio::post(io_, [this, shared] {
+    Decide([&](TimeMs now, MeshNode::Actions* actions) {
+      node_->OnPeerNotSent(now, *shared, actions);
+    });
+  });
+}
+
+void Sidecar::Impl::OnLinkLost(const std::string& link) {
+  asio::post(io_, [this, link] {
+    Decide([&](TimeMs now, MeshNode::Actions* actions) {
+      node_->OnPeerLost(now, link, actions);
+    });
+  });
+}
+
+void Sidecar::Impl::RunOnBackend(StartRun start) {
+  uint64_t run = start.run;
+  std::string request_id = start.request.request_id;
+  backend_->Send(
+      run, protocol_->WriteRun(start), start.remaining_ms,
+      [this, run](HttpOutcome outcome) {
+        RunResult result;
+        if (!outcome.failure) {
+          result = protocol_->ReadRunAnswer(std::move(outcome.response));
+        } else {
+          switch (*outcome.failure) {
+            case HttpFailure::kNotSent:
+              result.type = RunResult::Type::kNotSent;
+              break;
+            case HttpFailure::kTimeout:
+              result.type = RunResult::Type::kTimeout;
+              break;
+            case HttpFailure::kCancelled:
+              result.type = RunResult::Type::kCancelled;
+              break;
+            case HttpFailure::kBroken:
+            case HttpFailure::kTooLarge:
+              result.type = RunResult::Type::kBroken;
+              break;
+          }
+        }
+        result.run = run;
+        auto shared = std::make_shared<RunResult>(std::move(result));
+        asio::post(io_, [this, shared] {
+          Decide([&](TimeMs now, MeshNode::Actions* actions) {
+            node_->OnResult(now, std::move(*shared), actions);
+          });
+        });
+      },
+      [this, request_id](const HttpResponse& answer) {
+        return protocol_->AnswerBelongs(answer, request_id);
+      });
+}
+
+void Sidecar::Impl::ProbeBackend() {
+  // Probes have numbers of their own, beyond those of runs.
+  constexpr uint64_t kProbeBit = uint64_t{1} << 63;
+  backend_->Send(
+      kProbeBit | next_probe_++, protocol_->WriteProbe(""),
+      settings_.probe_timeout_ms, [this](HttpOutcome outcome) {
+        bool up = !outcome.failure || *outcome.failure == HttpFailure::kTimeout;
+        std::string instance =
+            outcome.failure ? "" : protocol_->ReadProbe(outcome.response);
+        asio::post(io_, [this, up, instance] {
+          Decide([&](TimeMs now, MeshNode::Actions* actions) {
+            node_->OnProbed(now, up, instance, actions);
+          });
+        });
+      });
+}
+
+void Sidecar::Impl::CallStore(PlatformCall call) {
+  int64_t timeout_ms = settings_.store_timeout_ms + call.wait_ms;
+  uint64_t id = call.id;
+  HttpRequest request = protocol_->WriteStoreCall(call);
+  store_->Send(id, std::move(request), timeout_ms,
+               [this, call = std::move(call)](HttpOutcome outcome) {
+                 auto reply = std::make_shared<PlatformReply>(
+                     protocol_->ReadStoreReply(call, outcome));
+                 asio::post(io_, [this, reply] {
+                   Decide([&](TimeMs now, MeshNode::Actions* actions) {
+                     node_->OnStore(now, *reply, actions);
+                   });
+                 });
+               });
+}
+
+Sidecar::Sidecar(SidecarSettings settings, const EdgeProtocol* protocol)
+    : impl_(std::make_unique<Impl>(std::move(settings), protocol)) {}
+Sidecar::~Sidecar() = default;
+Result<bool> Sidecar::Start() { return impl_->Start(); }
+void Sidecar::Run(std::function<void()> reload) {
+  impl_->Run(std::move(reload));
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/mesh/slot_gate.cc
@@ -0,0 +1,205 @@
+#include "banyanloft/mesh/slot_gate.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace banyanloft {
+namespace {
+
+constexpr int64_t kPermille = 1000;
+/// Weight of one sample in a mean, 1 / 8: settles within some ten runs.
+constexpr int64_t kMeanShare = 8;
+/// Routes whose run time is remembered; configurations hold fewer.
+constexpr size_t kMaxRoutes = 20000;
+/// Shortest pause asked of a refused client, in ms: a round trip.
+constexpr int64_t kMinRetryAfterMs = 60;
+/// Steps of the golden ratio, in 1/1000, spread any number of returns evenly.
+constexpr uint64_t kSpreadStepPermille = 618;
+
+}  // namespace
+
+void SlotGate::Mean::Add(int64_t ms) {
+  int64_t sample = ms * 16;
+  value = value < 0 ? sample : value + (sample - value) / kMeanShare;
+}
+
+void SlotGate::SetSlots(int slots) { settings_.slots = std::max(1, slots); }
+
+int64_t SlotGate::CostMs(const std::string& route) const {
+  auto it = cost_.find(route);
+  if (it != cost_.end()) return it->second.Ms();
+  return mean_cost_.value < 0 ? settings_.first_cost_ms : mean_cost_.Ms();
+}
+
+int SlotGate::Waiting() const {
+  size_t total = 0;
+  for (const std::deque<SlotWork>& queue : waiting_) total += queue.size();
+  return static_cast<int>(total);
+}
+
+/// Work ahead divided over the slots, where those that more urgent classes
+/// keep busy do not count.
+int64_t SlotGate::ExpectedWaitMs(int urgency) const {
+  int slots = settings_.slots;
+  int64_t ahead_ms = 0;
+  int ahead = 0;
+  for (int cls = 0; cls <= urgency; ++cls) {
+    for (const SlotWork& work : waiting_[static_cast<size_t>(cls)]) {
+      ahead_ms += CostMs(work.route);
+      ++ahead;
+    }
+  }
+  if (ahead == 0 && Running() < slots) return 0;
+  int64_t running_ms = 0;
+  for (const auto& [id, work] : running_) running_ms += CostMs(work.route);
+  int busy = std::max(1, Running());
+  int urgent = 0;
+  for (int cls = 0; cls < urgency; ++cls)
+    urgent += running_by_class_[static_cast<size_t>(cls)];
+  int left = std::max(slots / 4, std::max(1, slots - urgent));
+  return (ahead_ms + running_ms / busy) / left;
+}
+
+int64_t SlotGate::PatienceMs(const SlotWork& work) const {
+  int64_t spare_ms = work.aim_left_ms - CostMs(work.route);
+  int64_t late_ms = std::max<int64_t>(0, work.deadline - work.offered) *
+                    settings_.late_patience_permille / kPermille;
+  if (spare_ms <= 0) spare_ms = late_ms;
+  return std::max(spare_ms, settings_.min_patience_ms);
+}
+
+void SlotGate::Offer(TimeMs now, SlotWork work, Verdicts* verdicts) {
+  work.offered = now;
+  int64_t wait_ms = ExpectedWaitMs(work.urgency);
+  bool too_late = now + wait_ms + CostMs(work.route) / 2 >= work.deadline;
+  if (too_late && wait_ms > 0)
+    return Refuse(work, ErrorKind::kDeadlineUnmeetable, wait_ms, verdicts);
+  bool full = static_cast<size_t>(Waiting()) >= settings_.max_waiting;
+  if (full || wait_ms > PatienceMs(work))
+    return Refuse(work, ErrorKind::kOverloaded, wait_ms, verdicts);
+  waiting_[static_cast<size_t>(work.urgency)].push_back(std::move(work));
+  Fill(now, verdicts);
+}
+
+void SlotGate::Finish(TimeMs now, uint64_t id, int64_t run_ms,
+                      Verdicts* verdicts) {
+  auto it = running_.find(id);
+  if (it == running_.end()) return;
+  if (run_ms >= 0) {
+    if (cost_.size() > kMaxRoutes) cost_.clear();
+    cost_[it->second.route].Add(run_ms);
+    mean_cost_.Add(run_ms);
+  }
+  --running_by_class_[static_cast<size_t>(it->second.urgency)];
+  solo_running_ -= it->second.solo ? 1 : 0;
+  running_.erase(it);
+  Fill(now, verdicts);
+}
+
+bool SlotGate::Withdraw(uint64_t id) {
+  for (std::deque<SlotWork>& queue : waiting_) {
+    auto it = std::find_if(queue.begin(), queue.end(),
+                           [&](const SlotWork& w) { return w.id == id; });
+    if (it == queue.end()) continue;
+    queue.erase(it);
+    return true;
+  }
+  return false;
+}
+
+void SlotGate::RefuseAll(ErrorKind reason, Verdicts* verdicts) {
+  for (std::deque<SlotWork>& queue : waiting_) {
+    for (const SlotWork& work : queue) Refuse(work, reason, 0, verdicts);
+    queue.clear();
+  }
+}
+
+void SlotGate::Tick(TimeMs now, Verdicts* verdicts) {
+  for (size_t cls = 0; cls < waiting_.size(); ++cls) {
+    std::deque<SlotWork>& queue = waiting_[cls];
+    for (auto it = queue.begin(); it != queue.end();) {
+      bool no_time = now + CostMs(it->route) / 2 >= it->deadline;
+      // The estimate at the offer was wrong: twice the patience is the end.
+      bool waited = now - it->offered > 2 * PatienceMs(*it);
+      if (!no_time && !waited) {
+        ++it;
+        continue;
+      }
+      ErrorKind error =
+          no_time ? ErrorKind::kDeadlineUnmeetable : ErrorKind::kOverloaded;
+      Refuse(*it, error, ExpectedWaitMs(static_cast<int>(cls)), verdicts);
+      it = queue.erase(it);
+    }
+  }
+  Fill(now, verdicts);
+}
+
+bool SlotGate::Startable(const SlotWork& work) const {
+  return !work.solo || solo_running_ == 0;
+}
+
+/// The most urgent class that waits, unless a less urgent one is owed a start.
+bool SlotGate::FindNext(size_t* urgency) const {
+  bool found = false;
+  for (size_t cls = 0; cls < waiting_.size(); ++cls) {
+    if (waiting_[cls].empty() || !Startable(waiting_[cls].front())) continue;
+    bool owed = owed_permille_[cls] >= kPermille;
+    if (!found || owed) *urgency = cls;
+    found = true;
+  }
+  return found;
+}
+
+void SlotGate::Fill(TimeMs now, Verdicts* verdicts) {
+  size_t cls = 0;
+  while (Running() < settings_.slots && FindNext(&cls)) {
+    SlotWork work = std::move(waiting_[cls].front());
+    waiting_[cls].pop_front();
+    if (now >= work.deadline) {
+      Refuse(work, ErrorKind::kDeadlineUnmeetable, 0, verdicts);
+      continue;
+    }
+    Start(work, verdicts);
+  }
+}
+
+void SlotGate::Start(const SlotWork& work, Verdicts* verdicts) {
+  size_t started = static_cast<size_t>(work.urgency);
+  for (size_t cls = started + 1; cls < waiting_.size(); ++cls) {
+    if (!waiting_[cls].empty()) owed_permille_[cls] += settings_.floor_permille;
+  }
+  owed_permille_[started] =
+      std::max<int64_t>(0, owed_permille_[started] - kPermille);
+  ++running_by_class_[started];
+  solo_running_ += work.solo ? 1 : 0;
+  running_.emplace(work.id, RunningWork{work.urgency, work.route, work.solo});
+  verdicts->push_back(
+      {SlotVerdict::Type::kStart, work.id, ErrorKind::kOverloaded, 0, 0});
+}
+
+/// Asks the client to come back when the present queue has drained, each at
+/// another moment of the span after that.
+void SlotGate::Refuse(const SlotWork& work, ErrorKind error, int64_t wait_ms,
+                      Verdicts* verdicts) {
+  uint64_t phase = (++refusals_ * kSpreadStepPermille) % kPermille;
+  int64_t base_ms = std::max(wait_ms, kMinRetryAfterMs);
+  int64_t retry_ms =
+      base_ms + base_ms * static_cast<int64_t>(phase) / kPermille;
+  verdicts->push_back(
+      {SlotVerdict::Type::kRefuse, work.id, error, retry_ms, wait_ms});
+}
+
+TargetLoad SlotGate::Load() const {
+  TargetLoad load;
+  load.slots = settings_.slots;
+  int ahead = Running();
+  for (size_t cls = 0; cls < waiting_.size(); ++cls) {
+    ahead += static_cast<int>(waiting_[cls].size());
+    load.ahead[cls] = ahead;
+  }
+  load.mean_run_ms = static_cast<int>(
+      mean_cost_.value < 0 ? settings_.first_cost_ms : mean_cost_.Ms());
+  return load;
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/mesh/slot_gate.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "banyanloft/core/error.h"
+#include "banyanloft/core/time.h"
+#include "banyanloft/mesh/mesh_message.h"
+
+namespace banyanloft {
+
+/// Settings of a slot gate.
+struct SlotGateSettings {
+  int slots = 16;  ///< Until the backend server has told its own, a guess low
+                   ///< enough for most.
+  int64_t first_cost_ms = 100;  ///< Assumed run time of a route never seen.
+  size_t max_waiting = 2000;    ///< Most work that waits, a bound on memory.
+  /// Starts that a class is owed for each start of a more urgent one while it
+  /// waits, in 1/1000: no class may be starved below a quarter of the rest.
+  int64_t floor_permille = 150;
+  /// Shortest wait that is always tolerated, in ms: below it, refusing costs
+  /// the client more than waiting.
+  int64_t min_patience_ms = 40;
+  /// Work that cannot meet its aim any more may wait this part of its aim, in
+  /// 1/1000, so that it does not make everything behind it late as well.
+  int64_t late_patience_permille = 250;
+};
+
+/// One piece of work offered to the gate.
+struct SlotWork {
+  uint64_t id = 0;
+  int urgency = 0;          ///< Class, 0 the most urgent.
+  std::string route;        ///< Unit of run time estimates.
+  int64_t aim_left_ms = 0;  ///< When offered: time left for full credit, in ms.
+  TimeMs offered;
+  TimeMs deadline;    ///< Time of the final answer.
+  bool solo = false;  ///< Must not run beside other solo work.
+};
+
+/// What the gate decided about one piece of work.
+struct SlotVerdict {
+  enum class Type : uint8_t { kStart, kRefuse };
+  Type type = Type::kStart;
+  uint64_t id = 0;
+  ErrorKind error = ErrorKind::kOverloaded;  ///< With kRefuse.
+  int64_t retry_after_ms = 0;  ///< With kRefuse: when room is expected, in ms.
+  int64_t expected_wait_ms = 0;  ///< The estimate that decided.
+};
+
+/// Admission in front of one backend server, for loads beyond its slots: floods
+/// of long, patient work and bursts of short, urgent work. Work is refused as
+/// soon as its expected finish misses what it can wait for, so that what is
+/// admitted is answered in time. Deterministic; not thread safe; free of I/O.
+class SlotGate {
+ public:
+  explicit SlotGate(const SlotGateSettings& settings) : settings_(settings) {}
+
+  using Verdicts = std::vector<SlotVerdict>;
+
+  /// Offers work: it is started, refused or left waiting.
+  void Offer(TimeMs now, SlotWork work, Verdicts* verdicts);
+  /// Started work gave its slot back after `run_ms` (negative: not measured).
+  void Finish(TimeMs now, uint64_t id, int64_t run_ms, Verdicts* verdicts);
+  /// Withdraws waiting work; true if it was waiting and will never start.
+  bool Withdraw(uint64_t id);
+  /// Refuses all work that waits.
+  void RefuseAll(ErrorKind reason, Verdicts* verdicts);
+  /// Refuses work whose time has run out and fills free slots.
+  void Tick(TimeMs now, Verdicts* verdicts);
+  /// Slots as the backend server tells them.
+  void SetSlots(int slots);
+
+  int Running() const { return static_cast<int>(running_.size()); }
+  int Waiting() const;
+  TargetLoad Load() const;
+  /// Mean run time of a route, in ms.
+  int64_t CostMs(const std::string& route) const;
+  /// Expected wait of new work, in ms.
+  int64_t ExpectedWaitMs(int urgency) const;
+
+ private:
+  struct RunningWork {
+    int urgency;
+    std::string route;
+    bool solo;
+  };
+  /// Exponentially weighted mean, in 1/16 ms.
+  struct Mean {
+    int64_t value = -1;
+    void Add(int64_t ms);
+    int64_t Ms() const { return value / 16; }
+  };
+
+  int64_t PatienceMs(const SlotWork& work) const;
+  bool FindNext(size_t* urgency) const;
+  bool Startable(const SlotWork& work) const;
+  void Start(const SlotWork& work, Verdicts* verdicts);
+  void Refuse(const SlotWork& work, ErrorKind error, int64_t wait_ms,
+              Verdicts* verdicts);
+  void Fill(TimeMs now, Verdicts* verdicts);
+
+  SlotGateSettings settings_;
+  std::array<std::deque<SlotWork>, kUrgencyClasses> waiting_;
+  std::array<int64_t, kUrgencyClasses> owed_permille_{};
+  std::unordered_map<uint64_t, RunningWork> running_;
+  std::array<int, kUrgencyClasses> running_by_class_{};
+  int solo_running_ = 0;
+  uint64_t refusals_ = 0;
+  std::unordered_map<std::string, Mean> cost_;
+  Mean mean_cost_;
+};
+
+}  // namespace banyanloft
--- /dev/null
+++ b/banyanloft/mesh/target_board.cc
@@ -0,0 +1,161 @@
+#include "banyanloft/mesh/target_board.h"
+
+#include <algorithm>
+
+namespace banyanloft {
+namespace {
+
+constexpr int64_t kPermille = 1000;
+/// Weight of one sample in a mean, 1 / 8: settles within some ten runs.
+constexpr int64_t kMeanShare = 8;
+/// Weight of one outcome in a failure share, 1 / 16: a single failure moves it
+/// by 6 %, a target that fails half of its requests shows within ten.
+constexpr int64_t kFailureShare = 16;
+/// Extra expected time of a target that fails every request, in ms.
+constexpr int64_t kFailurePenaltyMs = 1000;
+constexpr int64_t kSuspectPenaltyMs = 100000;
+constexpr int kMaxEjectDoublings = 4;
+constexpr size_t kMaxRoutes = 20000;
+
+bool Contains(const std::vector<MemberId>& list, MemberId id) {
+  return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+}  // namespace
+
+void TargetBoard::Mean::Add(int64_t ms) {
+  int64_t sample = ms * 16;
+  value = value < 0 ? sample : value + (sample - value) / kMeanShare;
+}
+
+int64_t TargetBoard::RunMs(const Target& target,
+                           const std::string& route) const {
+  auto own = target.run.find(route);
+  if (own != target.run.end()) return own->second.value / 16;
+  auto all = run_.find(route);
+  return all != run_.end() ? all->second.value / 16 : settings_.first_run_ms;
+}
+
+int64_t TargetBoard::ExpectedMs(TimeMs now, const Target& target,
+                                const TargetQuery& query) const {
+  int64_t run_ms = RunMs(target, query.route);
+  int64_t wait_ms = 0;
+  int ahead = target.outstanding;
+  int slots = 1;
+  if (target.load.slots > 0) {
+    slots = target.load.slots;
+    bool fresh = now - target.reported < settings_.report_life_ms;
+    if (fresh) {
+      int reported = target.load.ahead[static_cast<size_t>(query.urgency)];
+      ahead = std::max(ahead, reported + target.sent_since_report);
+    }
+    if (ahead >= slots) {
+      wait_ms = (ahead - slots + 1) *
+                static_cast<int64_t>(target.load.mean_run_ms) / slots;
+    }
+  }
+  return wait_ms + run_ms +
+         target.failure_permille * kFailurePenaltyMs / kPermille;
+}
+
+bool TargetBoard::Usable(TimeMs now, const Target& target) const {
+  return now >= target.ejected_until && now >= target.avoid_until;
+}
+
+std::optional<TargetChoice> TargetBoard::Choose(
+    TimeMs now, const std::vector<TargetCandidate>& candidates,
+    const TargetQuery& query, const std::vector<MemberId>& excluded) {
+  std::optional<TargetChoice> near;
+  std::optional<TargetChoice> any;
+  // Targets that are ejected or avoided are used only if there is no other.
+  for (int pass = 0; pass < 2 && !any; ++pass) {
+    // Begin at a random one, so that equals share.
+    size_t count = candidates.size();
+    size_t start = random_.Below(count);
+    for (size_t i = 0; i < count; ++i) {
+      const TargetCandidate& candidate = candidates[(start + i) % count];
+      if (Contains(excluded, candidate.id)) continue;
+      const Target& target = targets_[candidate.id];
+      if (pass == 0 && !Usable(now, target)) continue;
+      if (pass == 1 && now < target.avoid_until) continue;
+      int64_t expected_ms = ExpectedMs(now, target, query);
+      if (candidate.suspect) expected_ms += kSuspectPenaltyMs;
+      TargetChoice choice{candidate.id, expected_ms, candidate.near};
+      if (candidate.near && (!near || expected_ms < near->expected_ms))
+        near = choice;
+      int64_t cost_ms =
+          expected_ms + (candidate.near ? 0 : settings_.far_penalty_ms);
+      int64_t best_ms =
+          any ? any->expected_ms + (any->near ? 0 : settings_.far_penalty_ms)
+              : 0;
+      if (!any || cost_ms < best_ms) any = choice;
+    }
+  }
+  if (!near) return any;
+  int64_t limit_ms =
+      query.aim_left_ms * settings_.near_share_permille / kPermille;
+  return near->expected_ms <= limit_ms ? near : any;
+}
+
+void TargetBoard::OnSent(MemberId id) {
+  Target& target = targets_[id];
+  ++target.outstanding;
+  ++target.sent_since_report;
+}
+
+void TargetBoard::OnEnded(MemberId id) {
+  Target& target = targets_[id];
+  target.outstanding = std::max(0, target.outstanding - 1);
+}
+
+void TargetBoard::OnReport(TimeMs now, MemberId id, const TargetLoad& load,
+                           const std::string& route, int64_t run_ms) {
+  Target& target = targets_[id];
+  target.load = load;
+  target.reported = now;
+  target.sent_since_report = 0;
+  if (run_ms < 0) return;
+  if (target.run.size() > kMaxRoutes) target.run.clear();
+  if (run_.size() > kMaxRoutes) run_.clear();
+  target.run[route].Add(run_ms);
+  run_[route].Add(run_ms);
+}
+
+void TargetBoard::OnOutcome(TimeMs now, MemberId id, bool failed) {
+  Target& target = targets_[id];
+  int64_t sample = failed ? kPermille : 0;
+  target.failure_permille += (sample - target.failure_permille) / kFailureShare;
+  if (!failed) {
+    target.failures = 0;
+    target.ejections = 0;
+    return;
+  }
+  if (++target.failures < settings_.failures_to_eject) return;
+  if (now < target.ejected_until) return;
+  int doublings = std::min(target.ejections, kMaxEjectDoublings);
+  int64_t time_ms =
+      std::min(settings_.eject_base_ms << doublings, settings_.eject_cap_ms);
+  target.ejected_until =
+      now + time_ms +
+      static_cast<int64_t>(random_.Below(static_cast<uint64_t>(time_ms) / 4));
+  ++target.ejections;
+  // Afterwards one failure ejects it again, one success clears it.
+  target.failures = settings_.failures_to_eject - 1;
+}
+
+void TargetBoard::Avoid(TimeMs now, MemberId id) {
+  targets_[id].avoid_until = now + settings_.avoid_ms;
+}
+
+void TargetBoard::Retain(const std::vector<MemberId>& alive) {
+  for (auto it = targets_.begin(); it != targets_.end();)
+    it = Contains(alive, it->first) ? std::next(it) : targets_.erase(it);
+}
+
+int TargetBoard::Ejected(TimeMs now) const {
+  return static_cast<int>(std::count_if(
+      targets_.begin(), targets_.end(),
+      [&](const auto& entry) { return now < entry.second.ejected_until; }));
+}
+
+}  // namespace banyanloft
--- a/banyanloft/operator/operator_session.h
+++ b/banyanloft/operator/operator_session.h
@@ -11,7 +11,7 @@
 #include "banyanloft/core/random.h"
 #include "banyanloft/distribution/head.h"
 #include "banyanloft/distribution/zone_status.h"
-#include "banyanloft/platform/platform.h"
+#include "banyanloft/store/platform.h"
 
 namespace banyanloft {
 
--- a/banyanloft/run_once/key.cc
+++ b/banyanloft/run_once/key.cc
@@ -30,6 +30,8 @@
 
 }  // namespace
 
+std::string MemberName(MemberId id) { return fmt::format("{:016x}", id); }
+
 std::string KeyToText(const RunKey& key, const std::string& secret) {
   return Signed(key) + "." + SealOf(key, secret);
 }
--- a/banyanloft/run_once/key.h
+++ b/banyanloft/run_once/key.h
@@ -9,6 +9,8 @@
 
 /// Identity of one daemon process, drawn at its start and never used again.
 using MemberId = uint64_t;
+/// A member's identity as it stands in logs: 16 hexadecimal digits.
+std::string MemberName(MemberId id);
 
 /// A key under which one non-idempotent call may run. It names its home: the
 /// only daemon process that may ever run it.
--- a/banyanloft/platform/http_codec.cc
+++ b/banyanloft/store/http_codec.cc
@@ -1,4 +1,4 @@
-#include "banyanloft/platform/http_codec.h"
+#include "banyanloft/store/http_codec.h"
 
 #include <fmt/format.h>
 
--- a/banyanloft/platform/http_codec.h
+++ b/banyanloft/store/http_codec.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "banyanloft/http/http_client.h"
-#include "banyanloft/platform/platform_message.h"
+#include "banyanloft/store/platform_message.h"
 
 namespace banyanloft {
 
--- a/banyanloft/platform/http_platform.cc
+++ b/banyanloft/store/http_platform.cc
@@ -1,6 +1,6 @@
-#include "banyanloft/platform/http_platform.h"
+#include "banyanloft/store/http_platform.h"
 
-#include "banyanloft/platform/http_codec.h"
+#include "banyanloft/store/http_codec.h"
 
 namespace banyanloft {
 namespace {
--- a/banyanloft/platform/http_platform.h
+++ b/banyanloft/store/http_platform.h
@@ -3,7 +3,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "banyanloft/http/http_client.h"
-#include "banyanloft/platform/platform.h"
+#include "banyanloft/store/platform.h"
 
 namespace banyanloft {
 
--- a/banyanloft/platform/memory_platform.cc
+++ b/banyanloft/store/memory_platform.cc
@@ -1,4 +1,4 @@
-#include "banyanloft/platform/memory_platform.h"
+#include "banyanloft/store/memory_platform.h"
 
 namespace banyanloft {
 
--- a/banyanloft/platform/memory_platform.h
+++ b/banyanloft/store/memory_platform.h
@@ -3,7 +3,7 @@
 #include <map>
 #include <string>
 
-#include "banyanloft/platform/platform.h"
+#include "banyanloft/store/platform.h"
 
 namespace banyanloft {
 
--- a/banyanloft/platform/platform.h
+++ b/banyanloft/store/platform.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "banyanloft/platform/platform_message.h"
+#include "banyanloft/store/platform_message.h"
 
 namespace banyanloft {
 
--- a/banyanloft/platform/platform_message.h
+++ b/banyanloft/store/platform_message.h
@@ -23,9 +23,10 @@
   Type type = Type::kRead;
   std::string key;  ///< With kList: the prefix.
   std::optional<uint64_t>
-      watch_after;      ///< With kRead: wait for a revision above this one.
-  int64_t wait_ms = 0;  ///< Longest wait of a watch, in ms.
-  std::string value;    ///< With kWrite.
+      watch_after;        ///< Wait for a change after this revision.
+  int64_t wait_ms = 0;    ///< Longest wait of a watch, in ms.
+  bool stale_ok = false;  ///< With kList: an answer may be out of date.
+  std::string value;      ///< With kWrite.
   std::optional<uint64_t>
       expected_revision;  ///< With kWrite: 0 means the object must not exist.
 };
@@ -36,7 +37,9 @@
   std::optional<Error>
       error;  ///< kConflict: the expected revision did not match.
   std::vector<PlatformObject> objects;  ///< Empty if the object does not exist.
-  uint64_t revision = 0;                ///< With kWrite: the new revision.
+  /// With kWrite: the new revision. With kList: the store's revision, from
+  /// which to watch on; 0 if the store tells none.
+  uint64_t revision = 0;
 };
 
 }  // namespace banyanloft
--- a/benchmarks/fleet_probe.cc
+++ b/benchmarks/fleet_probe.cc
@@ -10,7 +10,7 @@
 #include "banyanloft/core/option_table.h"
 #include "banyanloft/http/http_client.h"
 #include "banyanloft/operator/operator_session.h"
-#include "banyanloft/platform/http_platform.h"
+#include "banyanloft/store/http_platform.h"
 
 /// Measures a fleet of real daemons from outside: what control costs each of
 /// them while nothing happens and while changes are accepted, and how long an
--- a/programs/banyanloft.cc
+++ b/programs/banyanloft.cc
@@ -10,7 +10,7 @@
 #include "banyanloft/core/option_table.h"
 #include "banyanloft/core/random.h"
 #include "banyanloft/operator/operator_session.h"
-#include "banyanloft/platform/http_platform.h"
+#include "banyanloft/store/http_platform.h"
 
 namespace banyanloft {
 namespace {
--- a/standins/node_fleet.h
+++ b/standins/node_fleet.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "banyanloft/daemon/node.h"
-#include "banyanloft/platform/memory_platform.h"
+#include "banyanloft/store/memory_platform.h"
 
 namespace banyanloft {
 
--- a/standins/platform_server.h
+++ b/standins/platform_server.h
@@ -8,7 +8,7 @@
 
 #include "banyanloft/config/json.h"
 #include "banyanloft/http/http_server.h"
-#include "banyanloft/platform/memory_platform.h"
+#include "banyanloft/store/memory_platform.h"
 
 namespace banyanloft {
 
--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -12,7 +12,7 @@
 #include "banyanloft/http/http_client.h"
 #include "banyanloft/http/http_server.h"
 #include "banyanloft/operator/operator_session.h"
-#include "banyanloft/platform/http_platform.h"
+#include "banyanloft/store/http_platform.h"
 #include "standins/node_fleet.h"
 #include "standins/platform_server.h"
 
--- a/tests/operator_test.cc
+++ b/tests/operator_test.cc
@@ -7,7 +7,7 @@
 #include "banyanloft/core/digest.h"
 #include "banyanloft/core/option_table.h"
 #include "banyanloft/operator/operator_session.h"
-#include "banyanloft/platform/memory_platform.h"
+#include "banyanloft/store/memory_platform.h"
 #include "standins/node_fleet.h"
 
 using namespace banyanloft;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -3,8 +3,8 @@
 #include <boost/asio/post.hpp>
 #include <thread>
 
-#include "banyanloft/platform/http_platform.h"
-#include "banyanloft/platform/memory_platform.h"
+#include "banyanloft/store/http_platform.h"
+#include "banyanloft/store/memory_platform.h"
 #include "standins/platform_server.h"
 
 using namespace banyanloft;
