--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -209,15 +209,15 @@
   uint64_t fingerprint = work.fingerprint;
   Answer(work, std::move(answer), actions);
   Drop(now, result.run, actions);
-  SlotGate::Verdicts verdicts;
-  gate_.Finish(now, result.run, run_ms, &verdicts);
-  Carry(now, verdicts, actions);
-
   if (result.type == RunResult::Type::kBroken)
     NoteBroken(now, fingerprint, actions);
+  // Before the slot is given on: what waits would meet the same end.
   bool lost = result.type == RunResult::Type::kNotSent ||
               result.type == RunResult::Type::kMisplaced;
   if (lost) OnDown(now, actions);
+  SlotGate::Verdicts verdicts;
+  gate_.Finish(now, result.run, run_ms, &verdicts);
+  Carry(now, verdicts, actions);
 }
 
 /// Requests no longer reach the instance that was there. What waits may be
--- /dev/null
+++ b/banyanloft/mesh/run_time.cc
@@ -0,0 +1,38 @@
+#include "banyanloft/mesh/run_time.h"
+
+namespace banyanloft {
+namespace {
+
+constexpr int64_t kUnit = 16;
+/// Weight of one sample in a mean, 1 / 8: settles within some ten runs.
+constexpr int64_t kMeanShare = 8;
+/// Routes that are remembered; configurations hold fewer.
+constexpr size_t kMaxRoutes = 20000;
+
+}  // namespace
+
+void RunTimes::Mean::Add(TimeMs now, int64_t ms) {
+  int64_t sample = ms * kUnit;
+  bool fresh = value >= 0 && now - updated <= kSampleLifeMs;
+  value = fresh ? value + (sample - value) / kMeanShare : sample;
+  updated = now;
+}
+
+void RunTimes::Add(TimeMs now, const std::string& route, int64_t run_ms) {
+  if (by_route_.size() > kMaxRoutes) by_route_.clear();
+  by_route_[route].Add(now, run_ms);
+  overall_.Add(now, run_ms);
+}
+
+int64_t RunTimes::MeanMs(TimeMs now, const std::string& route) const {
+  auto it = by_route_.find(route);
+  if (it == by_route_.end() || now - it->second.updated > kSampleLifeMs)
+    return -1;
+  return it->second.value / kUnit;
+}
+
+int64_t RunTimes::OverallMs() const {
+  return overall_.value < 0 ? -1 : overall_.value / kUnit;
+}
+
+}  // namespace banyanloft
--- a/banyanloft/mesh/slot_gate.cc
+++ b/banyanloft/mesh/slot_gate.cc
@@ -7,10 +7,6 @@
 namespace {
 
 constexpr int64_t kPermille = 1000;
-/// Weight of one sample in a mean, 1 / 8: settles within some ten runs.
-constexpr int64_t kMeanShare = 8;
-/// Routes whose run time is remembered; configurations hold fewer.
-constexpr size_t kMaxRoutes = 20000;
 /// Shortest pause asked of a refused client, in ms: a round trip.
 constexpr int64_t kMinRetryAfterMs = 60;
 /// Steps of the golden ratio, in 1/1000, spread any number of returns evenly.
@@ -18,17 +14,14 @@
 
 }  // namespace
 
-void SlotGate::Mean::Add(int64_t ms) {
-  int64_t sample = ms * 16;
-  value = value < 0 ? sample : value + (sample - value) / kMeanShare;
-}
-
 void SlotGate::SetSlots(int slots) { settings_.slots = std::max(1, slots); }
 
-int64_t SlotGate::CostMs(const std::string& route) const {
-  auto it = cost_.find(route);
-  if (it != cost_.end()) return it->second.Ms();
-  return mean_cost_.value < 0 ? settings_.first_cost_ms : mean_cost_.Ms();
+int64_t SlotGate::CostMs(TimeMs now, const std::string& route,
+                         int64_t aim_ms) const {
+  int64_t mean_ms = run_times_.MeanMs(now, route);
+  if (mean_ms >= 0) return mean_ms;
+  return std::max<int64_t>(0, aim_ms) * settings_.first_cost_permille /
+         kPermille;
 }
 
 int SlotGate::Waiting() const {
@@ -39,19 +32,20 @@
 
 /// Work ahead divided over the slots, where those that more urgent classes
 /// keep busy do not count.
-int64_t SlotGate::ExpectedWaitMs(int urgency) const {
+int64_t SlotGate::ExpectedWaitMs(TimeMs now, int urgency) const {
   int slots = settings_.slots;
   int64_t ahead_ms = 0;
   int ahead = 0;
   for (int cls = 0; cls <= urgency; ++cls) {
     for (const SlotWork& work : waiting_[static_cast<size_t>(cls)]) {
-      ahead_ms += CostMs(work.route);
+      ahead_ms += CostMs(now, work);
       ++ahead;
     }
   }
   if (ahead == 0 && Running() < slots) return 0;
   int64_t running_ms = 0;
-  for (const auto& [id, work] : running_) running_ms += CostMs(work.route);
+  for (const auto& [id, work] : running_)
+    running_ms += CostMs(now, work.route, work.aim_ms);
   int busy = std::max(1, Running());
   int urgent = 0;
   for (int cls = 0; cls < urgency; ++cls)
@@ -60,22 +54,36 @@
   return (ahead_ms + running_ms / busy) / left;
 }
 
-int64_t SlotGate::PatienceMs(const SlotWork& work) const {
-  int64_t spare_ms = work.aim_left_ms - CostMs(work.route);
+int64_t SlotGate::PatienceMs(TimeMs now, const SlotWork& work) const {
+  int64_t run_ms =
+      CostMs(now, work) * settings_.run_margin_permille / kPermille;
+  int64_t spare_ms =
+      (work.aim_left_ms - run_ms) * settings_.wait_share_permille / kPermille;
   int64_t late_ms = std::max<int64_t>(0, work.deadline - work.offered) *
                     settings_.late_patience_permille / kPermille;
   if (spare_ms <= 0) spare_ms = late_ms;
+  // A nested call that is refused fails the request that holds a slot for it.
+  if (work.urgency == 0) spare_ms = work.deadline - work.offered;
   return std::max(spare_ms, settings_.min_patience_ms);
 }
 
+/// Whether work that starts after `wait_ms` cannot be expected to end in time.
+/// The cost counts for at most half of the time left: an estimate that is wrong
+/// must not keep out the very work that would correct it.
+bool SlotGate::TooLate(TimeMs now, const SlotWork& work,
+                       int64_t wait_ms) const {
+  int64_t left_ms = work.deadline - now;
+  int64_t cost_ms = std::min(CostMs(now, work) / 2, left_ms / 2);
+  return wait_ms + cost_ms >= left_ms;
+}
+
 void SlotGate::Offer(TimeMs now, SlotWork work, Verdicts* verdicts) {
   work.offered = now;
-  int64_t wait_ms = ExpectedWaitMs(work.urgency);
-  bool too_late = now + wait_ms + CostMs(work.route) / 2 >= work.deadline;
-  if (too_late && wait_ms > 0)
+  int64_t wait_ms = ExpectedWaitMs(now, work.urgency);
+  if (wait_ms > 0 && TooLate(now, work, wait_ms))
     return Refuse(work, ErrorKind::kDeadlineUnmeetable, wait_ms, verdicts);
   bool full = static_cast<size_t>(Waiting()) >= settings_.max_waiting;
-  if (full || wait_ms > PatienceMs(work))
+  if (full || wait_ms > PatienceMs(now, work))
     return Refuse(work, ErrorKind::kOverloaded, wait_ms, verdicts);
   waiting_[static_cast<size_t>(work.urgency)].push_back(std::move(work));
   Fill(now, verdicts);
@@ -85,11 +93,7 @@
                       Verdicts* verdicts) {
   auto it = running_.find(id);
   if (it == running_.end()) return;
-  if (run_ms >= 0) {
-    if (cost_.size() > kMaxRoutes) cost_.clear();
-    cost_[it->second.route].Add(run_ms);
-    mean_cost_.Add(run_ms);
-  }
+  if (run_ms >= 0) run_times_.Add(now, it->second.route, run_ms);
   --running_by_class_[static_cast<size_t>(it->second.urgency)];
   solo_running_ -= it->second.solo ? 1 : 0;
   running_.erase(it);
@@ -118,16 +122,16 @@
   for (size_t cls = 0; cls < waiting_.size(); ++cls) {
     std::deque<SlotWork>& queue = waiting_[cls];
     for (auto it = queue.begin(); it != queue.end();) {
-      bool no_time = now + CostMs(it->route) / 2 >= it->deadline;
+      bool no_time = TooLate(now, *it, 0);
       // The estimate at the offer was wrong: twice the patience is the end.
-      bool waited = now - it->offered > 2 * PatienceMs(*it);
+      bool waited = now - it->offered > 2 * PatienceMs(now, *it);
       if (!no_time && !waited) {
         ++it;
         continue;
       }
       ErrorKind error =
           no_time ? ErrorKind::kDeadlineUnmeetable : ErrorKind::kOverloaded;
-      Refuse(*it, error, ExpectedWaitMs(static_cast<int>(cls)), verdicts);
+      Refuse(*it, error, ExpectedWaitMs(now, static_cast<int>(cls)), verdicts);
       it = queue.erase(it);
     }
   }
@@ -139,11 +143,11 @@
 }
 
 /// The most urgent class that waits, unless a less urgent one is owed a start.
-bool SlotGate::FindNext(size_t* urgency) const {
+bool SlotGate::FindNext(TimeMs now, size_t* urgency) const {
   bool found = false;
   for (size_t cls = 0; cls < waiting_.size(); ++cls) {
     if (waiting_[cls].empty() || !Startable(waiting_[cls].front())) continue;
-    bool owed = owed_permille_[cls] >= kPermille;
+    bool owed = owed_ms_[cls] >= CostMs(now, waiting_[cls].front());
     if (!found || owed) *urgency = cls;
     found = true;
   }
@@ -152,27 +156,30 @@
 
 void SlotGate::Fill(TimeMs now, Verdicts* verdicts) {
   size_t cls = 0;
-  while (Running() < settings_.slots && FindNext(&cls)) {
+  while (Running() < settings_.slots && FindNext(now, &cls)) {
     SlotWork work = std::move(waiting_[cls].front());
     waiting_[cls].pop_front();
     if (now >= work.deadline) {
       Refuse(work, ErrorKind::kDeadlineUnmeetable, 0, verdicts);
       continue;
     }
-    Start(work, verdicts);
+    Start(now, work, verdicts);
   }
 }
 
-void SlotGate::Start(const SlotWork& work, Verdicts* verdicts) {
+void SlotGate::Start(TimeMs now, const SlotWork& work, Verdicts* verdicts) {
   size_t started = static_cast<size_t>(work.urgency);
+  int64_t cost_ms = std::max<int64_t>(1, CostMs(now, work));
   for (size_t cls = started + 1; cls < waiting_.size(); ++cls) {
-    if (!waiting_[cls].empty()) owed_permille_[cls] += settings_.floor_permille;
+    bool waits = !waiting_[cls].empty();
+    int64_t earned_ms = cost_ms * settings_.floor_permille / kPermille;
+    owed_ms_[cls] = waits ? owed_ms_[cls] + earned_ms : 0;
   }
-  owed_permille_[started] =
-      std::max<int64_t>(0, owed_permille_[started] - kPermille);
+  owed_ms_[started] = std::max<int64_t>(0, owed_ms_[started] - cost_ms);
   ++running_by_class_[started];
   solo_running_ += work.solo ? 1 : 0;
-  running_.emplace(work.id, RunningWork{work.urgency, work.route, work.solo});
+  running_.emplace(work.id, RunningWork{work.urgency, work.aim_left_ms,
+                                        work.route, work.solo});
   verdicts->push_back(
       {SlotVerdict::Type::kStart, work.id, ErrorKind::kOverloaded, 0, 0});
 }
@@ -197,8 +204,8 @@
     ahead += static_cast<int>(waiting_[cls].size());
     load.ahead[cls] = ahead;
   }
-  load.mean_run_ms = static_cast<int>(
-      mean_cost_.value < 0 ? settings_.first_cost_ms : mean_cost_.Ms());
+  load.mean_run_ms =
+      static_cast<int>(std::max<int64_t>(0, run_times_.OverallMs()));
   return load;
 }
 
--- a/banyanloft/mesh/slot_gate.h
+++ b/banyanloft/mesh/slot_gate.h
@@ -10,6 +10,7 @@
 #include "banyanloft/core/error.h"
 #include "banyanloft/core/time.h"
 #include "banyanloft/mesh/mesh_message.h"
+#include "banyanloft/mesh/run_time.h"
 
 namespace banyanloft {
 
@@ -17,11 +18,21 @@
 struct SlotGateSettings {
   int slots = 16;  ///< Until the backend server has told its own, a guess low
                    ///< enough for most.
-  int64_t first_cost_ms = 100;  ///< Assumed run time of a route never seen.
-  size_t max_waiting = 2000;    ///< Most work that waits, a bound on memory.
-  /// Starts that a class is owed for each start of a more urgent one while it
-  /// waits, in 1/1000: no class may be starved below a quarter of the rest.
+  /// Assumed run time of a route without samples, as a part of its aim, in
+  /// 1/1000: operators set aims at some four times the usual run time.
+  int64_t first_cost_permille = 250;
+  size_t max_waiting = 2000;  ///< Most work that waits, a bound on memory.
+  /// Slot time that a class is owed while it waits, as a part of the slot time
+  /// that more urgent ones take, in 1/1000: no class may be starved below a
+  /// quarter of the rest.
   int64_t floor_permille = 150;
+  /// Run time that must fit behind the wait within the aim, in 1/1000 of the
+  /// mean. In a flood all admitted work has the longest wait allowed: with the
+  /// mean alone, half of it would miss its aim.
+  int64_t run_margin_permille = 1600;
+  /// Part of what then is left that the expected wait may take, in 1/1000. The
+  /// rest is for more urgent work that arrives later.
+  int64_t wait_share_permille = 850;
   /// Shortest wait that is always tolerated, in ms: below it, refusing costs
   /// the client more than waiting.
   int64_t min_patience_ms = 40;
@@ -77,41 +88,38 @@
   int Running() const { return static_cast<int>(running_.size()); }
   int Waiting() const;
   TargetLoad Load() const;
-  /// Mean run time of a route, in ms.
-  int64_t CostMs(const std::string& route) const;
   /// Expected wait of new work, in ms.
-  int64_t ExpectedWaitMs(int urgency) const;
+  int64_t ExpectedWaitMs(TimeMs now, int urgency) const;
 
  private:
   struct RunningWork {
     int urgency;
+    int64_t aim_ms;
     std::string route;
     bool solo;
   };
-  /// Exponentially weighted mean, in 1/16 ms.
-  struct Mean {
-    int64_t value = -1;
-    void Add(int64_t ms);
-    int64_t Ms() const { return value / 16; }
-  };
-
-  int64_t PatienceMs(const SlotWork& work) const;
-  bool FindNext(size_t* urgency) const;
+  int64_t CostMs(TimeMs now, const std::string& route, int64_t aim_ms) const;
+  int64_t CostMs(TimeMs now, const SlotWork& work) const {
+    return CostMs(now, work.route, work.aim_left_ms);
+  }
+  int64_t PatienceMs(TimeMs now, const SlotWork& work) const;
+  bool TooLate(TimeMs now, const SlotWork& work, int64_t wait_ms) const;
+  bool FindNext(TimeMs now, size_t* urgency) const;
   bool Startable(const SlotWork& work) const;
-  void Start(const SlotWork& work, Verdicts* verdicts);
+  void Start(TimeMs now, const SlotWork& work, Verdicts* verdicts);
   void Refuse(const SlotWork& work, ErrorKind error, int64_t wait_ms,
               Verdicts* verdicts);
   void Fill(TimeMs now, Verdicts* verdicts);
 
   SlotGateSettings settings_;
   std::array<std::deque<SlotWork>, kUrgencyClasses> waiting_;
-  std::array<int64_t, kUrgencyClasses> owed_permille_{};
+  /// Slot time owed to each class, in ms.
+  std::array<int64_t, kUrgencyClasses> owed_ms_{};
   std::unordered_map<uint64_t, RunningWork> running_;
   std::array<int, kUrgencyClasses> running_by_class_{};
   int solo_running_ = 0;
   uint64_t refusals_ = 0;
-  std::unordered_map<std::string, Mean> cost_;
-  Mean mean_cost_;
+  RunTimes run_times_;
 };
 
 }  // namespace banyanloft
--- a/banyanloft/mesh/target_board.cc
+++ b/banyanloft/mesh/target_board.cc
@@ -6,8 +6,6 @@
 namespace {
 
 constexpr int64_t kPermille = 1000;
-/// Weight of one sample in a mean, 1 / 8: settles within some ten runs.
-constexpr int64_t kMeanShare = 8;
 /// Weight of one outcome in a failure share, 1 / 16: a single failure moves it
 /// by 6 %, a target that fails half of its requests shows within ten.
 constexpr int64_t kFailureShare = 16;
@@ -15,7 +13,8 @@
 constexpr int64_t kFailurePenaltyMs = 1000;
 constexpr int64_t kSuspectPenaltyMs = 100000;
 constexpr int kMaxEjectDoublings = 4;
-constexpr size_t kMaxRoutes = 20000;
+constexpr int64_t kFailureHalfLifeMs = 1000;
+constexpr int64_t kMaxHalvings = 10;
 
 bool Contains(const std::vector<MemberId>& list, MemberId id) {
   return std::find(list.begin(), list.end(), id) != list.end();
@@ -23,22 +22,24 @@
 
 }  // namespace
 
-void TargetBoard::Mean::Add(int64_t ms) {
-  int64_t sample = ms * 16;
-  value = value < 0 ? sample : value + (sample - value) / kMeanShare;
+int64_t TargetBoard::RunMs(TimeMs now, const Target& target,
+                           const std::string& route) const {
+  int64_t own_ms = target.run.MeanMs(now, route);
+  if (own_ms >= 0) return own_ms;
+  int64_t all_ms = run_.MeanMs(now, route);
+  return all_ms >= 0 ? all_ms : settings_.first_run_ms;
 }
 
-int64_t TargetBoard::RunMs(const Target& target,
-                           const std::string& route) const {
-  auto own = target.run.find(route);
-  if (own != target.run.end()) return own->second.value / 16;
-  auto all = run_.find(route);
-  return all != run_.end() ? all->second.value / 16 : settings_.first_run_ms;
+/// The share halves with each second without an outcome, so that a target that
+/// is shunned for its failures is tried again.
+int64_t TargetBoard::FailurePermille(TimeMs now, const Target& target) {
+  int64_t halvings = (now - target.outcome_at) / kFailureHalfLifeMs;
+  return halvings > kMaxHalvings ? 0 : target.failure_permille >> halvings;
 }
 
 int64_t TargetBoard::ExpectedMs(TimeMs now, const Target& target,
                                 const TargetQuery& query) const {
-  int64_t run_ms = RunMs(target, query.route);
+  int64_t run_ms = RunMs(now, target, query.route);
   int64_t wait_ms = 0;
   int ahead = target.outstanding;
   int slots = 1;
@@ -55,7 +56,7 @@
     }
   }
   return wait_ms + run_ms +
-         target.failure_permille * kFailurePenaltyMs / kPermille;
+         FailurePermille(now, target) * kFailurePenaltyMs / kPermille;
 }
 
 bool TargetBoard::Usable(TimeMs now, const Target& target) const {
@@ -115,16 +116,16 @@
   target.reported = now;
   target.sent_since_report = 0;
   if (run_ms < 0) return;
-  if (target.run.size() > kMaxRoutes) target.run.clear();
-  if (run_.size() > kMaxRoutes) run_.clear();
-  target.run[route].Add(run_ms);
-  run_[route].Add(run_ms);
+  target.run.Add(now, route, run_ms);
+  run_.Add(now, route, run_ms);
 }
 
 void TargetBoard::OnOutcome(TimeMs now, MemberId id, bool failed) {
   Target& target = targets_[id];
   int64_t sample = failed ? kPermille : 0;
-  target.failure_permille += (sample - target.failure_permille) / kFailureShare;
+  int64_t share = FailurePermille(now, target);
+  target.failure_permille = share + (sample - share) / kFailureShare;
+  target.outcome_at = now;
   if (!failed) {
     target.failures = 0;
     target.ejections = 0;
--- a/banyanloft/mesh/target_board.h
+++ b/banyanloft/mesh/target_board.h
@@ -4,12 +4,12 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "banyanloft/core/random.h"
 #include "banyanloft/core/time.h"
 #include "banyanloft/mesh/mesh_message.h"
+#include "banyanloft/mesh/run_time.h"
 #include "banyanloft/run_once/key.h"
 
 namespace banyanloft {
@@ -83,32 +83,31 @@
   int Ejected(TimeMs now) const;
 
  private:
-  struct Mean {
-    int64_t value = -1;  ///< In 1/16 ms.
-    void Add(int64_t ms);
-  };
   struct Target {
     int outstanding = 0;
     int sent_since_report = 0;
     TargetLoad load;
     TimeMs reported{-1000000};
-    std::unordered_map<std::string, Mean> run;
+    RunTimes run;
     int failures = 0;
     int ejections = 0;
     TimeMs ejected_until{-1000000};
     TimeMs avoid_until{-1000000};
     int64_t failure_permille = 0;  ///< Weighted share of failed requests.
+    TimeMs outcome_at;             ///< Of the last request that ended.
   };
 
   int64_t ExpectedMs(TimeMs now, const Target& target,
                      const TargetQuery& query) const;
-  int64_t RunMs(const Target& target, const std::string& route) const;
+  int64_t RunMs(TimeMs now, const Target& target,
+                const std::string& route) const;
+  static int64_t FailurePermille(TimeMs now, const Target& target);
   bool Usable(TimeMs now, const Target& target) const;
 
   TargetBoardSettings settings_;
   Random random_;
   std::map<MemberId, Target> targets_;
-  std::unordered_map<std::string, Mean> run_;
+  RunTimes run_;
 };
 
 }  // namespace banyanloft
--- /dev/null
+++ b/tests/backend_runner_test.cc
@@ -0,0 +1,255 @@
+#include "banyanloft/mesh/backend_runner.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace banyanloft;
+
+namespace {
+
+constexpr char kAddress[] = "10.0.0.1:80";
+
+InstanceReport ReportOf(int64_t sequence, bool draining = false,
+                        int64_t born_ms = 1000) {
+  InstanceReport report;
+  report.id = "i-1";
+  report.born_ms = born_ms;
+  report.sequence = sequence;
+  report.service = "s";
+  report.address = kAddress;
+  report.slots = 2;
+  report.draining = draining;
+  return report;
+}
+
+}  // namespace
+
+TEST_GROUP(instance_registry) { InstanceRegistry registry_{kAddress}; };
+
+TEST(instance_registry, report_late_isIgnored) {
+  registry_.OnReport(TimeMs(0), ReportOf(2, true));
+  CHECK(registry_.OnReport(TimeMs(1), ReportOf(1)) ==
+        InstanceRegistry::Change::kIgnored);
+  CHECK(registry_.State() == InstanceState::kDraining);
+}
+
+TEST(instance_registry, report_afterDraining_staysDraining) {
+  registry_.OnReport(TimeMs(0), ReportOf(1, true));
+  registry_.OnReport(TimeMs(1), ReportOf(2));
+  CHECK(registry_.State() == InstanceState::kDraining);
+}
+
+TEST(instance_registry, report_ofANewStartUnderTheSameId_isReady) {
+  registry_.OnReport(TimeMs(0), ReportOf(9, true));
+  CHECK(registry_.OnReport(TimeMs(1), ReportOf(1, false, 2000)) ==
+        InstanceRegistry::Change::kStarted);
+  CHECK(registry_.State() == InstanceState::kReady);
+}
+
+TEST(instance_registry, report_ofAnEarlierStart_isIgnored) {
+  registry_.OnReport(TimeMs(0), ReportOf(1, false, 2000));
+  CHECK(registry_.OnReport(TimeMs(1), ReportOf(50, true, 1000)) ==
+        InstanceRegistry::Change::kIgnored);
+  CHECK(registry_.State() == InstanceState::kReady);
+}
+
+TEST(instance_registry, report_ofAnotherAddress_isIgnored) {
+  InstanceReport foreign = ReportOf(1);
+  foreign.address = "10.0.0.2:80";
+  registry_.OnReport(TimeMs(0), foreign);
+  CHECK(registry_.State() == InstanceState::kUnknown);
+}
+
+TEST(instance_registry, left_reportOfTheSameStart_doesNotReviveIt) {
+  registry_.OnReport(TimeMs(0), ReportOf(1));
+  registry_.OnLeft(TimeMs(1), "i-1");
+  registry_.OnReport(TimeMs(2), ReportOf(2));
+  CHECK(registry_.State() == InstanceState::kGone);
+}
+
+TEST_GROUP(backend_runner) {
+  std::unique_ptr<BackendRunner> runner_;
+  BackendRunner::Actions actions_;
+
+  void setup() override {
+    BackendRunnerSettings settings;
+    settings.service = "s";
+    settings.address = kAddress;
+    runner_ = std::make_unique<BackendRunner>(settings, 3, TimeMs(0));
+  }
+  void Report(int64_t sequence, bool draining = false) {
+    runner_->OnReport(TimeMs(0), ReportOf(sequence, draining), &actions_);
+  }
+  void Forward(TimeMs now, uint64_t attempt, bool idempotent,
+               const std::string& body = "") {
+    ForwardRequest request;
+    request.attempt = attempt;
+    request.service = "s";
+    request.route = "r";
+    request.caller = "c";
+    request.target = "/x";
+    request.body = body;
+    request.idempotent = idempotent;
+    request.aim_left_ms = 400;
+    request.remaining_ms = 1000;
+    runner_->OnForward(now, "peer:1", request, &actions_);
+  }
+  const StartRun* Run(size_t n) {
+    for (const BackendRunnerAction& action : actions_) {
+      const auto* run = std::get_if<StartRun>(&action);
+      if (run != nullptr && n-- == 0) return run;
+    }
+    return nullptr;
+  }
+  const ForwardAnswer* AnswerOf(uint64_t attempt) {
+    for (const BackendRunnerAction& action : actions_) {
+      const auto* sent = std::get_if<SendForwardAnswer>(&action);
+      if (sent != nullptr && sent->answer.attempt == attempt)
+        return &sent->answer;
+    }
+    return nullptr;
+  }
+  template <typename T>
+  size_t Count() {
+    size_t count = 0;
+    for (const BackendRunnerAction& action : actions_)
+      count += std::holds_alternative<T>(action) ? 1 : 0;
+    return count;
+  }
+  void End(size_t n, RunResult::Type type, TimeMs now = TimeMs(50)) {
+    RunResult result;
+    result.run = Run(n)->run;
+    result.type = type;
+    runner_->OnResult(now, result, &actions_);
+  }
+};
+
+TEST(backend_runner, forward_instanceUnknown_refusedUnrun) {
+  Forward(TimeMs(0), 1, false);
+  CHECK(AnswerOf(1)->error == ErrorKind::kBackendUnavailable);
+  CHECK(AnswerOf(1)->run_state == RunState::kNotRun);
+  LONGS_EQUAL(0, Count<StartRun>());
+}
+
+TEST(backend_runner, forward_instanceReady_runsAndNamesTheInstance) {
+  Report(1);
+  Forward(TimeMs(0), 1, false);
+  STRCMP_EQUAL("i-1", Run(0)->instance.c_str());
+  End(0, RunResult::Type::kAnswered);
+  CHECK(!AnswerOf(1)->error);
+}
+
+TEST(backend_runner,
+     drain_acknowledged_nothingNewStartsAndWaitingIsHandedBack) {
+  Report(1);
+  for (uint64_t attempt = 1; attempt <= 3; ++attempt)
+    Forward(TimeMs(0), attempt, false);
+  LONGS_EQUAL(2, Count<StartRun>());
+  Report(2, true);
+  CHECK(AnswerOf(3)->error == ErrorKind::kDraining);
+  CHECK(AnswerOf(3)->run_state == RunState::kNotRun);
+  End(0, RunResult::Type::kAnswered);
+  Forward(TimeMs(60), 4, false);
+  LONGS_EQUAL(2, Count<StartRun>());
+  CHECK(!AnswerOf(1)->error);
+}
+
+TEST(backend_runner, forward_otherService_refusedUnrun) {
+  Report(1);
+  ForwardRequest request;
+  request.attempt = 5;
+  request.service = "other";
+  request.remaining_ms = 1000;
+  runner_->OnForward(TimeMs(0), "peer:1", request, &actions_);
+  CHECK(AnswerOf(5)->run_state == RunState::kNotRun);
+  LONGS_EQUAL(0, Count<StartRun>());
+}
+
+TEST(backend_runner, results_sayWhetherTheRequestRan) {
+  struct Row {
+    RunResult::Type type;
+    RunState state;
+  };
+  const Row kRows[] = {{RunResult::Type::kRejected, RunState::kNotRun},
+                       {RunResult::Type::kMisplaced, RunState::kNotRun},
+                       {RunResult::Type::kNotSent, RunState::kNotRun},
+                       {RunResult::Type::kBroken, RunState::kUnknown},
+                       {RunResult::Type::kGarbled, RunState::kUnknown},
+                       {RunResult::Type::kTimeout, RunState::kUnknown}};
+  for (const Row& row : kRows) {
+    setup();
+    actions_.clear();
+    Report(1);
+    Forward(TimeMs(0), 1, false);
+    End(0, row.type);
+    CHECK(AnswerOf(1)->run_state == row.state);
+  }
+}
+
+TEST(backend_runner, cancel_runningIdempotent_isCutOff) {
+  Report(1);
+  Forward(TimeMs(0), 1, true);
+  runner_->OnCancel(TimeMs(5), "peer:1", 1, &actions_);
+  LONGS_EQUAL(1, Count<CancelRunOnBackend>());
+}
+
+TEST(backend_runner, cancel_runningOnce_goesOnToItsEnd) {
+  Report(1);
+  Forward(TimeMs(0), 1, false);
+  runner_->OnCancel(TimeMs(5), "peer:1", 1, &actions_);
+  LONGS_EQUAL(0, Count<CancelRunOnBackend>());
+  End(0, RunResult::Type::kAnswered);
+  CHECK(AnswerOf(1) == nullptr);
+  LONGS_EQUAL(0, runner_->InHand());
+}
+
+TEST(backend_runner, peerLost_waitingWorkNeverStarts) {
+  Report(1);
+  for (uint64_t attempt = 1; attempt <= 3; ++attempt)
+    Forward(TimeMs(0), attempt, false);
+  runner_->OnPeerLost(TimeMs(5), "peer:1", &actions_);
+  End(0, RunResult::Type::kAnswered);
+  End(1, RunResult::Type::kAnswered);
+  LONGS_EQUAL(2, Count<StartRun>());
+  LONGS_EQUAL(0, runner_->InHand());
+}
+
+TEST(backend_runner, notSent_waitingIsHandedBackAndTheInstanceProbed) {
+  Report(1);
+  for (uint64_t attempt = 1; attempt <= 3; ++attempt)
+    Forward(TimeMs(0), attempt, false);
+  End(0, RunResult::Type::kNotSent);
+  CHECK(AnswerOf(3)->error == ErrorKind::kBackendUnavailable);
+  LONGS_EQUAL(1, Count<ProbeInstance>());
+  CHECK(runner_->State() == InstanceState::kUnknown);
+  runner_->OnProbed(TimeMs(60), true, "i-1", &actions_);
+  CHECK(runner_->State() == InstanceState::kReady);
+}
+
+TEST(backend_runner, crashes_sameRequestThreeTimes_isRefusedUnrun) {
+  Report(1);
+  TimeMs now(0);
+  for (int crash = 0; crash < 3; ++crash) {
+    size_t n = Count<StartRun>();
+    Forward(now, static_cast<uint64_t>(crash) + 1, false, "poison");
+    End(n, RunResult::Type::kBroken, now + 10);
+    runner_->OnProbed(now + 20, false, "", &actions_);
+    now = now + 3000;
+    runner_->OnReport(now, ReportOf(1, false, 5000 + crash), &actions_);
+  }
+  size_t runs = Count<StartRun>();
+  Forward(now, 9, false, "poison");
+  LONGS_EQUAL(runs, Count<StartRun>());
+  CHECK(AnswerOf(9)->error == ErrorKind::kCrashSuspect);
+  Forward(now, 10, false, "harmless");
+  LONGS_EQUAL(runs + 1, Count<StartRun>());
+}
+
+TEST(backend_runner, restartedDaemon_asksWhoIsThereBeforeItRunsAnything) {
+  runner_->Tick(TimeMs(20), &actions_);
+  LONGS_EQUAL(1, Count<ProbeInstance>());
+  Forward(TimeMs(25), 1, false);
+  CHECK(AnswerOf(1)->run_state == RunState::kNotRun);
+  runner_->OnProbed(TimeMs(30), true, "i-1", &actions_);
+  Forward(TimeMs(35), 2, false);
+  STRCMP_EQUAL("i-1", Run(0)->instance.c_str());
+}
--- /dev/null
+++ b/tests/config_follower_test.cc
@@ -0,0 +1,143 @@
+#include "banyanloft/mesh/config_follower.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace banyanloft;
+
+namespace {
+
+/// A document is the number of its version; others cannot be read.
+class NumberReader final : public ConfigurationReader {
+ public:
+  Result<RouteConfiguration> ReadConfiguration(
+      const std::string& text) const override {
+    RouteConfiguration out;
+    out.version = std::strtoull(text.c_str(), nullptr, 10);
+    if (out.version == 0)
+      return Error{ErrorKind::kInvalidConfiguration, "no number"};
+    return out;
+  }
+};
+
+}  // namespace
+
+TEST_GROUP(config_follower) {
+  NumberReader reader_;
+  ConfigFollower follower_{ConfigFollowerSettings(), 4, TimeMs(0), &reader_};
+  ConfigFollower::Actions actions_;
+
+  const PlatformCall* LastCall() {
+    const PlatformCall* last = nullptr;
+    for (const ConfigFollowerAction& action : actions_) {
+      if (const auto* call = std::get_if<PlatformCall>(&action)) last = call;
+    }
+    return last;
+  }
+  template <typename T>
+  size_t Count() {
+    size_t count = 0;
+    for (const ConfigFollowerAction& action : actions_)
+      count += std::holds_alternative<T>(action) ? 1 : 0;
+    return count;
+  }
+  void Store(TimeMs now, const std::string& value, uint64_t revision) {
+    PlatformReply reply;
+    reply.revision = revision;
+    if (!value.empty())
+      reply.objects.push_back({"config/main", revision, value});
+    follower_.OnStore(now, reply, &actions_);
+  }
+  void Failure(TimeMs now, ErrorKind kind) {
+    PlatformReply reply;
+    reply.error = Error{kind, "test"};
+    follower_.OnStore(now, reply, &actions_);
+  }
+};
+
+TEST(config_follower, start_readsFreshAndAdopts) {
+  follower_.Tick(TimeMs(0), false, &actions_);
+  CHECK(!LastCall()->stale_ok);
+  Store(TimeMs(5), "3", 100);
+  LONGS_EQUAL(3, follower_.Version());
+}
+
+TEST(config_follower, watcher_watchesOnFromTheRevision) {
+  follower_.Tick(TimeMs(0), true, &actions_);
+  Store(TimeMs(5), "3", 100);
+  follower_.Tick(TimeMs(10), true, &actions_);
+  CHECK(LastCall()->watch_after == uint64_t{100});
+  Store(TimeMs(50), "4", 120);
+  LONGS_EQUAL(4, follower_.Version());
+}
+
+TEST(config_follower, olderOrUnreadableDocument_isNeverAdopted) {
+  follower_.Tick(TimeMs(0), true, &actions_);
+  Store(TimeMs(5), "7", 100);
+  for (const char* text : {"6", "rubbish", "7"}) {
+    follower_.Tick(TimeMs(10), true, &actions_);
+    Store(TimeMs(15), text, 130);
+    LONGS_EQUAL(7, follower_.Version());
+  }
+  LONGS_EQUAL(1, Count<TableAdopted>());
+}
+
+TEST(config_follower, historyLost_readsThePresentAtOnce) {
+  follower_.Tick(TimeMs(0), true, &actions_);
+  Store(TimeMs(5), "3", 100);
+  follower_.Tick(TimeMs(10), true, &actions_);
+  Failure(TimeMs(20), ErrorKind::kHistoryLost);
+  follower_.Tick(TimeMs(25), true, &actions_);
+  CHECK(!LastCall()->watch_after);
+  CHECK(!LastCall()->stale_ok);
+}
+
+TEST(config_follower, failures_callsAreBounded) {
+  TimeMs now(0);
+  while (now < TimeMs(20000)) {
+    size_t before = Count<PlatformCall>();
+    follower_.Tick(now, true, &actions_);
+    if (Count<PlatformCall>() > before)
+      Failure(now + 1, ErrorKind::kPlatformUnavailable);
+    now = now + 50;
+  }
+  CHECK(Count<PlatformCall>() < 30);
+  CHECK(!follower_.StoreReachable());
+}
+
+TEST(config_follower, silence_isNoticedWithinTheWatchAndItsTimeout) {
+  ConfigFollowerSettings settings;
+  follower_.Tick(TimeMs(0), true, &actions_);
+  Store(TimeMs(5), "3", 100);
+  follower_.Tick(TimeMs(10), true, &actions_);
+  size_t before = Count<PlatformCall>();
+  TimeMs now(10);
+  while (Count<PlatformCall>() == before && now < TimeMs(60000)) {
+    now = now + 50;
+    follower_.Tick(now, true, &actions_);
+  }
+  CHECK(now - TimeMs(10) <=
+        settings.watch_wait_ms + settings.timeout_ms + 2 * settings.backoff_ms);
+}
+
+TEST(config_follower, rumourOfANewerVersion_isPulledOnce) {
+  follower_.OnRumour(TimeMs(0), "peer:1", 9, &actions_);
+  follower_.OnRumour(TimeMs(1), "peer:2", 9, &actions_);
+  LONGS_EQUAL(1, Count<PullDocument>());
+  follower_.OnDocument(TimeMs(5), DocumentReply{9, "9"}, &actions_);
+  LONGS_EQUAL(9, follower_.Version());
+  follower_.OnRumour(TimeMs(10), "peer:1", 9, &actions_);
+  LONGS_EQUAL(1, Count<PullDocument>());
+}
+
+TEST(config_follower, pullUnanswered_isTriedAtAnotherPeer) {
+  follower_.OnRumour(TimeMs(0), "peer:1", 9, &actions_);
+  follower_.Tick(TimeMs(1000), false, &actions_);
+  follower_.OnRumour(TimeMs(1001), "peer:2", 9, &actions_);
+  LONGS_EQUAL(2, Count<PullDocument>());
+}
+
+TEST(config_follower, documentRequest_olderPeer_getsTheDocument) {
+  follower_.OnDocument(TimeMs(5), DocumentReply{9, "9"}, &actions_);
+  STRCMP_EQUAL("9", follower_.OnDocumentRequest({8}).text.c_str());
+  LONGS_EQUAL(0, follower_.OnDocumentRequest({9}).version);
+}
--- /dev/null
+++ b/tests/forwarder_test.cc
@@ -0,0 +1,238 @@
+#include "banyanloft/mesh/forwarder.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace banyanloft;
+
+namespace {
+
+/// Candidates as a test sets them.
+class FixedDirectory final : public CandidateDirectory {
+ public:
+  std::vector<TargetCandidate> candidates = {
+      {11, true, false}, {12, false, false}, {13, false, false}};
+  std::vector<TargetCandidate> CandidatesOf(const std::string&) const override {
+    return candidates;
+  }
+};
+
+RouteTablePtr Table() {
+  RouteConfiguration out;
+  out.version = 1;
+  out.services["s"] = {"s", 100};
+  out.routes.push_back(HttpRouteBuilder("safe", "a.example", "/safe/")
+                           .To("s")
+                           .Idempotent()
+                           .Timeout(1000)
+                           .Aim(400)
+                           .Attempts(2)
+                           .Build());
+  out.routes.push_back(HttpRouteBuilder("once", "a.example", "/once/")
+                           .To("s")
+                           .Timeout(1000)
+                           .Aim(400)
+                           .Attempts(2)
+                           .Build());
+  return *ValueOf(RouteTable::Create(out));
+}
+
+}  // namespace
+
+TEST_GROUP(forwarder) {
+  FixedDirectory directory_;
+  std::unique_ptr<Forwarder> forwarder_;
+  Forwarder::Actions actions_;
+
+  void setup() override {
+    ForwarderSettings settings;
+    settings.caller = "caller";
+    forwarder_ = std::make_unique<Forwarder>(settings, 9, &directory_);
+    forwarder_->SetTable(Table());
+  }
+  void Request(TimeMs now, const std::string& path, int64_t wait_ms = 800) {
+    MeshRequest request;
+    request.request_id = "id-1";
+    request.method = "GET";
+    request.host = "a.example";
+    request.target = path;
+    request.wait_ms = wait_ms;
+    forwarder_->OnRequest(now, 1, request, &actions_);
+  }
+  /// The n-th attempt sent so far; null if there is none.
+  const SendForward* Sent(size_t n) {
+    for (const ForwarderAction& action : actions_) {
+      const auto* sent = std::get_if<SendForward>(&action);
+      if (sent != nullptr && n-- == 0) return sent;
+    }
+    return nullptr;
+  }
+  const MeshAnswer* Answered() {
+    for (const ForwarderAction& action : actions_) {
+      const auto* answer = std::get_if<AnswerClient>(&action);
+      if (answer != nullptr) return &answer->answer;
+    }
+    return nullptr;
+  }
+  size_t Cancels() {
+    size_t count = 0;
+    for (const ForwarderAction& action : actions_)
+      count += std::holds_alternative<SendCancelForward>(action) ? 1 : 0;
+    return count;
+  }
+  ForwardAnswer AnswerTo(size_t n) {
+    ForwardAnswer answer;
+    answer.attempt = Sent(n)->request.attempt;
+    answer.run_state = RunState::kRan;
+    answer.arrived = true;
+    answer.response.status = 200;
+    return answer;
+  }
+  ForwardAnswer RefusalTo(size_t n, ErrorKind error, bool arrived = false) {
+    ForwardAnswer answer = AnswerTo(n);
+    answer.run_state = RunState::kNotRun;
+    answer.error = error;
+    answer.arrived = arrived;
+    return answer;
+  }
+};
+
+TEST(forwarder, request_answered_reachesTheClientOnce) {
+  Request(TimeMs(0), "/once/1");
+  forwarder_->OnAnswer(TimeMs(50), AnswerTo(0), &actions_);
+  CHECK(Answered() != nullptr);
+  CHECK(!Answered()->error);
+  LONGS_EQUAL(0, forwarder_->InHand());
+  size_t before = actions_.size();
+  forwarder_->OnAnswer(TimeMs(60), AnswerTo(0), &actions_);
+  LONGS_EQUAL(before, actions_.size());
+}
+
+TEST(forwarder, request_carriesTheCallerAndTheTimeLeft) {
+  Request(TimeMs(0), "/once/1", 500);
+  STRCMP_EQUAL("caller", Sent(0)->request.caller.c_str());
+  CHECK(Sent(0)->request.remaining_ms <= 500);
+  LONGS_EQUAL(11, Sent(0)->target);
+}
+
+TEST(forwarder, unsafeRequest_refusedUnrun_goesToAnotherTarget) {
+  Request(TimeMs(0), "/once/1");
+  forwarder_->OnAnswer(TimeMs(5), RefusalTo(0, ErrorKind::kDraining),
+                       &actions_);
+  CHECK(Sent(1) != nullptr);
+  CHECK(Sent(1)->target != 11);
+  CHECK(Answered() == nullptr);
+}
+
+TEST(forwarder, unsafeRequest_linkLost_isNotSentAgainAndNotCalledUnrun) {
+  Request(TimeMs(0), "/once/1");
+  forwarder_->OnTargetLost(TimeMs(5), 11, &actions_);
+  CHECK(Sent(1) == nullptr);
+  CHECK(Answered() != nullptr);
+  CHECK(Answered()->run_state == RunState::kUnknown);
+}
+
+TEST(forwarder, unsafeRequest_lostAfterARefusal_isNotCalledUnrun) {
+  Request(TimeMs(0), "/once/1");
+  forwarder_->OnAnswer(TimeMs(5), RefusalTo(0, ErrorKind::kOverloaded),
+                       &actions_);
+  forwarder_->OnTargetLost(TimeMs(9), Sent(1)->target, &actions_);
+  CHECK(Answered()->run_state == RunState::kUnknown);
+}
+
+TEST(forwarder, unsafeRequest_neverLeft_goesToAnotherTarget) {
+  Request(TimeMs(0), "/once/1");
+  forwarder_->OnNotSent(TimeMs(5), Sent(0)->request.attempt, &actions_);
+  CHECK(Sent(1) != nullptr);
+}
+
+TEST(forwarder, allRefuse_clientIsToldWhenToComeBack) {
+  Request(TimeMs(0), "/safe/1");
+  for (size_t n = 0; Sent(n) != nullptr; ++n) {
+    ForwardAnswer refusal = RefusalTo(n, ErrorKind::kOverloaded);
+    refusal.retry_after_ms = 300 + static_cast<int64_t>(n);
+    forwarder_->OnAnswer(TimeMs(5), refusal, &actions_);
+  }
+  CHECK(Answered() != nullptr);
+  CHECK(Answered()->run_state == RunState::kNotRun);
+  LONGS_EQUAL(300, Answered()->retry_after_ms);
+}
+
+TEST(forwarder, safeRequest_linkLost_isSentAgainElsewhere) {
+  Request(TimeMs(0), "/safe/1");
+  forwarder_->OnTargetLost(TimeMs(5), 11, &actions_);
+  CHECK(Sent(1) != nullptr);
+  CHECK(Sent(1)->target != 11);
+}
+
+/// The load: a slow target, others overloaded. The second offer is refused; the
+/// first attempt must still serve the client.
+TEST(forwarder, safeRequest_secondOfferRefused_firstStillServes) {
+  Request(TimeMs(0), "/safe/1");
+  forwarder_->Tick(TimeMs(600), &actions_);
+  CHECK(Sent(1) != nullptr);
+  LONGS_EQUAL(0, Cancels());
+  forwarder_->OnAnswer(TimeMs(605), RefusalTo(1, ErrorKind::kOverloaded),
+                       &actions_);
+  CHECK(Answered() == nullptr);
+  forwarder_->OnAnswer(TimeMs(700), AnswerTo(0), &actions_);
+  CHECK(Answered() != nullptr);
+  CHECK(!Answered()->error);
+}
+
+TEST(forwarder, safeRequest_secondOfferAnswers_firstIsWithdrawn) {
+  Request(TimeMs(0), "/safe/1");
+  forwarder_->Tick(TimeMs(600), &actions_);
+  forwarder_->OnAnswer(TimeMs(650), AnswerTo(1), &actions_);
+  CHECK(!Answered()->error);
+  LONGS_EQUAL(1, Cancels());
+}
+
+TEST(forwarder, unsafeRequest_slow_isNeverOfferedTwice) {
+  Request(TimeMs(0), "/once/1");
+  forwarder_->Tick(TimeMs(700), &actions_);
+  CHECK(Sent(1) == nullptr);
+}
+
+TEST(forwarder, safeRequest_failedThenRefused_clientGetsTheTargetsAnswer) {
+  Request(TimeMs(0), "/safe/1");
+  ForwardAnswer failed = AnswerTo(0);
+  failed.response.status = 500;
+  forwarder_->OnAnswer(TimeMs(5), failed, &actions_);
+  CHECK(Sent(1) != nullptr);
+  for (size_t n = 1; Sent(n) != nullptr; ++n)
+    forwarder_->OnAnswer(TimeMs(6), RefusalTo(n, ErrorKind::kOverloaded),
+                         &actions_);
+  CHECK(!Answered()->error);
+  LONGS_EQUAL(500, Answered()->response.status);
+}
+
+TEST(forwarder, deadline_passes_attemptIsWithdrawnAndClientAnswered) {
+  Request(TimeMs(0), "/once/1", 500);
+  forwarder_->Tick(TimeMs(500), &actions_);
+  CHECK(Answered()->error == ErrorKind::kTimeout);
+  CHECK(Answered()->run_state == RunState::kUnknown);
+  LONGS_EQUAL(1, Cancels());
+}
+
+TEST(forwarder, clientLeaves_attemptsAreWithdrawn) {
+  Request(TimeMs(0), "/safe/1");
+  forwarder_->OnAbandoned(TimeMs(20), 1, &actions_);
+  LONGS_EQUAL(1, Cancels());
+  CHECK(Answered() == nullptr);
+  LONGS_EQUAL(0, forwarder_->InHand());
+}
+
+TEST(forwarder, noTable_refusedAsNotReady) {
+  Forwarder fresh(ForwarderSettings(), 1, &directory_);
+  MeshRequest request;
+  request.host = "a.example";
+  request.target = "/safe/1";
+  fresh.OnRequest(TimeMs(0), 1, request, &actions_);
+  CHECK(Answered()->error == ErrorKind::kNotReady);
+  CHECK(Answered()->run_state == RunState::kNotRun);
+}
+
+TEST(forwarder, unknownRoute_refused) {
+  Request(TimeMs(0), "/none/1");
+  CHECK(Answered()->error == ErrorKind::kUnknownRoute);
+}
--- /dev/null
+++ b/tests/platform_protocol_test.cc
@@ -0,0 +1,303 @@
+#include "platform/platform_protocol.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "platform/document.h"
+#include "platform/settings_file.h"
+#include "platform/store_calls.h"
+
+using namespace banyanloft;
+using namespace banyanloft::platform;
+
+namespace {
+
+constexpr char kDocument[] = R"({
+  "version": "0000001f",
+  "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000,
+             "header_timeout_s": 3, "idle_timeout_s": 1.5},
+  "base_version": "00000005",
+  "listeners": [{"host": "a.example", "rule_set": [
+    {"name": "r-1", "kind": "unsafe", "aim_s": 0.5, "priority": 1,
+     "match": {"path_prefix": "/x/"},
+     "action": {"service": "s1", "timeout_s": 1.5, "max_attempts": 2}},
+    {"name": "r-2", "kind": "safe", "aim_s": 0.4, "priority": 0,
+     "match": {"path_prefix": "/y/"},
+     "action": {"traffic_split": [{"service": "s1", "weight": 90},
+                                  {"service": "s2", "weight": 10}],
+                "timeout_s": 1.2, "max_attempts": 3}}]}],
+  "clusters": [
+    {"name": "s1", "health_path": "/healthz", "max_connections": 110},
+    {"name": "s2", "health_path": "/healthz", "max_connections": 110}]})";
+
+constexpr char kSettings[] = R"(
+node_name = "sidecar-1"
+ip = "10.1.0.8"
+zone = "z"
+internal_ports = [7620,7635]
+heartbeat_interval_s = 1.5
+bounds = ["grace_s=6","retry_budget_ratio=0.2","retry_budget_slack=56","budget_window_s=10","odd=true"]
+app_addr = "10.1.0.8:8301"
+service = "svc"
+unknown = 7
+[listen]
+outbound = "10.1.0.8:8304"
+ready = "10.1.0.8:8302"
+control = "10.1.0.8:8306"
+[platform]
+address = "10.200.1.7:8309"
+)";
+
+HttpResponse AnswerOf(int status, HttpHeaders headers) {
+  HttpResponse answer;
+  answer.status = status;
+  answer.headers = std::move(headers);
+  return answer;
+}
+
+HttpOutcome OutcomeOf(int status, const std::string& body) {
+  HttpOutcome outcome;
+  outcome.response.status = status;
+  outcome.response.body = body;
+  return outcome;
+}
+
+}  // namespace
+
+TEST_GROUP(platform_protocol) { PlatformProtocol protocol_; };
+
+TEST(platform_protocol, configuration_document_isDecoded) {
+  Result<RouteConfiguration> read = ReadConfigurationDocument(kDocument);
+  const RouteConfiguration* out = ValueOf(read);
+  CHECK(out != nullptr);
+  LONGS_EQUAL(0x1f, out->version);
+  LONGS_EQUAL(1500, out->limits.idle_timeout_ms);
+  LONGS_EQUAL(2, out->routes.size());
+  CHECK(!out->routes[0].idempotent);
+  LONGS_EQUAL(1500, out->routes[0].timeout_ms);
+  LONGS_EQUAL(500, out->routes[0].aim_ms);
+  CHECK(out->routes[1].idempotent);
+  LONGS_EQUAL(90, out->routes[1].split[0].weight);
+  LONGS_EQUAL(110, out->services.at("s2").max_connections);
+}
+
+TEST(platform_protocol, configuration_flaws_failWhole) {
+  std::string good = kDocument;
+  const std::pair<const char*, const char*> kFlaws[] = {
+      {"\"unsafe\"", "\"odd\""},
+      {"\"0000001f\"", "\"xyz\""},
+      {"\"timeout_s\": 1.5", "\"t\": 1"},
+      {"\"/x/\"", "7"},
+      {"\"rule_set\"", "\"rules\""},
+      {"\"weight\": 10", "\"weight\": \"a\""}};
+  for (const auto& [from, to] : kFlaws) {
+    std::string bad = good;
+    bad.replace(bad.find(from), std::string(from).size(), to);
+    Result<RouteConfiguration> read = ReadConfigurationDocument(bad);
+    CHECK_TEXT(ErrorOf(read) != nullptr, to);
+  }
+  Result<RouteConfiguration> cut =
+      ReadConfigurationDocument(good.substr(0, good.size() / 2));
+  CHECK(ErrorOf(cut) != nullptr);
+}
+
+TEST(platform_protocol, heartbeat_ofAnotherWriter_isRefused) {
+  const char* kBodies[] = {
+      "",
+      "[]",
+      "{",
+      "{\"service\":\"s\"}",
+      R"({"service":"s","address":"a","slots":"18","state":"ready","sequence":1})",
+      R"({"service":"s","address":"a","slots":18,"state":"odd","sequence":1})"};
+  for (const char* body : kBodies) {
+    Result<InstanceReport> read = ReadHeartbeat("i-1", body);
+    CHECK_TEXT(ErrorOf(read) != nullptr, body);
+  }
+}
+
+TEST(platform_protocol, heartbeat_sound_isDecoded) {
+  Result<InstanceReport> read = ReadHeartbeat(
+      "i-1",
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+      R"("slots":18,"state":"draining","cold_remaining_s":0.5,"sequence":4,)"
+      R"("born":1772330444166})");
+  const InstanceReport* report = ValueOf(read);
+  CHECK(report != nullptr);
+  CHECK(report->draining);
+  LONGS_EQUAL(500, report->cold_ms);
+  CHECK(report->born_ms == 1772330444166);
+}
+
+TEST(platform_protocol, clientRequest_hopHeadersAndForgedOnes_areDropped) {
+  HttpRequest request;
+  request.method = "PUT";
+  request.target = "/x/1?a=b";
+  request.from_ip = "10.9.9.9";
+  request.headers = {{"Host", "a.example"},
+                     {"X-Attempt-Id", "id"},
+                     {"X-Deadline-Ms", "250"},
+                     {"Connection", "keep-alive, X-Odd"},
+                     {"X-Odd", "1"},
+                     {"X-Caller-Service", "forged"},
+                     {"X-Expected-Instance", "forged"},
+                     {"X-Other", "kept"}};
+  Result<MeshRequest> read = protocol_.ReadClientRequest(request, "10.1.1.1");
+  const MeshRequest* out = ValueOf(read);
+  STRCMP_EQUAL("id", out->request_id.c_str());
+  LONGS_EQUAL(250, out->wait_ms);
+  CHECK(!out->nested);
+  LONGS_EQUAL(3, out->headers.size());
+}
+
+TEST(platform_protocol, clientRequest_deadlineIsNoNumber_isRefused) {
+  HttpRequest request;
+  request.headers = {{"X-Deadline-Ms", "soon"}};
+  Result<MeshRequest> read = protocol_.ReadClientRequest(request, "");
+  CHECK(ErrorOf(read) != nullptr);
+}
+
+TEST(platform_protocol, run_namesInstanceCallerAndTimeLeft) {
+  StartRun run;
+  run.instance = "i-1";
+  run.remaining_ms = 77;
+  run.request.caller = "svc";
+  HttpRequest out = protocol_.WriteRun(run);
+  STRCMP_EQUAL("77",
+               std::string(HeaderOf(out.headers, "X-Deadline-Ms")).c_str());
+  STRCMP_EQUAL(
+      "i-1", std::string(HeaderOf(out.headers, "X-Expected-Instance")).c_str());
+  STRCMP_EQUAL("svc",
+               std::string(HeaderOf(out.headers, "X-Caller-Service")).c_str());
+}
+
+TEST(platform_protocol, runAnswers_areJudged) {
+  const std::pair<std::string, std::string> kId = {"X-Attempt-Id", "id"};
+  const std::pair<std::string, std::string> kSigned = {"X-Response-Signature",
+                                                       "s"};
+  struct Row {
+    int status;
+    HttpHeaders headers;
+    RunResult::Type type;
+  };
+  const Row kRows[] = {
+      {200, {kId, kSigned}, RunResult::Type::kAnswered},
+      {200, {kId}, RunResult::Type::kGarbled},
+      {200, {kSigned}, RunResult::Type::kGarbled},
+      {200,
+       {kId, kSigned, {"Content-Encoding", "gzip"}},
+       RunResult::Type::kGarbled},
+      {500, {kId, kSigned}, RunResult::Type::kAnswered},
+      {503, {kId, {"X-Not-Executed", "1"}}, RunResult::Type::kRejected},
+      {421, {kId}, RunResult::Type::kMisplaced}};
+  for (const Row& row : kRows) {
+    RunResult result =
+        protocol_.ReadRunAnswer(AnswerOf(row.status, row.headers));
+    CHECK(result.type == row.type);
+  }
+}
+
+TEST(platform_protocol, ownAnswers_promiseNotRunOnlyWhenKnown) {
+  struct Row {
+    ErrorKind error;
+    RunState state;
+    int status;
+  };
+  const Row kRows[] = {{ErrorKind::kOverloaded, RunState::kNotRun, 503},
+                       {ErrorKind::kTimeout, RunState::kNotRun, 503},
+                       {ErrorKind::kTimeout, RunState::kUnknown, 504},
+                       {ErrorKind::kTargetLost, RunState::kUnknown, 502},
+                       {ErrorKind::kOverloaded, RunState::kUnknown, 502},
+                       {ErrorKind::kUnknownRoute, RunState::kNotRun, 404},
+                       {ErrorKind::kSlowRequest, RunState::kNotRun, 408},
+                       {ErrorKind::kOversizedRequest, RunState::kNotRun, 413}};
+  for (const Row& row : kRows) {
+    MeshAnswer answer;
+    answer.error = row.error;
+    answer.run_state = row.state;
+    answer.retry_after_ms = 1250;
+    HttpResponse out = protocol_.WriteClientAnswer(answer);
+    LONGS_EQUAL(row.status, out.status);
+    if (row.status == 503) {
+      STRCMP_EQUAL("1.250",
+                   std::string(HeaderOf(out.headers, "Retry-After")).c_str());
+    }
+  }
+}
+
+TEST(platform_protocol, store_writes_createOrReplaceByRevision) {
+  PlatformCall call;
+  call.type = PlatformCall::Type::kWrite;
+  call.key = "rendezvous/z";
+  call.value = R"({"gossip":[]})";
+  call.expected_revision = 0;
+  HttpRequest create = WriteStoreRequest(call);
+  STRCMP_EQUAL("POST", create.method.c_str());
+  STRCMP_EQUAL("/-/objects/rendezvous", create.target.c_str());
+  call.expected_revision = 12;
+  HttpRequest replace = WriteStoreRequest(call);
+  STRCMP_EQUAL("PUT", replace.method.c_str());
+  STRCMP_EQUAL("/-/objects/rendezvous/z", replace.target.c_str());
+  CHECK(replace.body.find("12") != std::string::npos);
+}
+
+TEST(platform_protocol, store_answers_areDecodedOrFail) {
+  PlatformCall list;
+  list.type = PlatformCall::Type::kList;
+  list.key = "config/";
+  const char* kItems =
+      R"({"items":[{"metadata":{"name":"main","revision":5},"spec":{"a":1}},)"
+      R"("rubbish",{"metadata":{"name":7}}],"more":false,"current_rev":9})";
+  PlatformReply reply = ReadStoreOutcome(list, OutcomeOf(200, kItems));
+  CHECK(!reply.error);
+  LONGS_EQUAL(1, reply.objects.size());
+  STRCMP_EQUAL("config/main", reply.objects[0].key.c_str());
+  LONGS_EQUAL(9, reply.revision);
+
+  CHECK(ReadStoreOutcome(list, OutcomeOf(410, "")).error->kind ==
+        ErrorKind::kHistoryLost);
+  for (int status : {429, 500, 503})
+    CHECK(ReadStoreOutcome(list, OutcomeOf(status, "")).error->kind ==
+          ErrorKind::kPlatformUnavailable);
+  CHECK(ReadStoreOutcome(list, OutcomeOf(200, "{")).error.has_value());
+  CHECK(ReadStoreOutcome(list, OutcomeOf(200, "{}")).error.has_value());
+}
+
+TEST(platform_protocol, store_watch_eventsAreObjects) {
+  PlatformCall watch;
+  watch.type = PlatformCall::Type::kList;
+  watch.key = "config/";
+  watch.watch_after = 5;
+  watch.wait_ms = 2000;
+  STRCMP_EQUAL("/-/objects/config?watch=5&wait_ms=2000",
+               WriteStoreRequest(watch).target.c_str());
+  const char* kEvents =
+      R"({"events":[{"deleted":false,"object":{"metadata":{"name":"main",)"
+      R"("revision":6},"spec":{}}},{"deleted":true,"object":{"metadata":)"
+      R"({"name":"x","revision":7}}}],"current_rev":7})";
+  PlatformReply reply = ReadStoreOutcome(watch, OutcomeOf(200, kEvents));
+  LONGS_EQUAL(1, reply.objects.size());
+  LONGS_EQUAL(7, reply.revision);
+}
+
+TEST(platform_protocol, settings_file_isDecoded) {
+  Result<SidecarSettings> read = ReadSettingsText(kSettings);
+  const SidecarSettings* settings = ValueOf(read);
+  CHECK(settings != nullptr);
+  STRCMP_EQUAL("10.1.0.8:8304", settings->clients.Text().c_str());
+  STRCMP_EQUAL("10.1.0.8:7620", settings->link.Text().c_str());
+  LONGS_EQUAL(200, settings->node.forwarder.budget.ratio_permille);
+  LONGS_EQUAL(56, settings->node.forwarder.budget.slack);
+  CHECK(settings->node.drain_max_ms < 6000);
+}
+
+TEST(platform_protocol, settings_mistakes_areAllNamed) {
+  std::string text = kSettings;
+  text.replace(text.find("zone ="), 4, "zona");
+  text.replace(text.find("10.1.0.8:8301"), 13, "nowhere");
+  Result<SidecarSettings> read = ReadSettingsText(text);
+  const Error* error = ErrorOf(read);
+  CHECK(error != nullptr);
+  CHECK(error->detail.find("zone") != std::string::npos);
+  CHECK(error->detail.find("app_addr") != std::string::npos);
+  Result<SidecarSettings> broken = ReadSettingsText("= no toml");
+  CHECK(ErrorOf(broken) != nullptr);
+}
--- /dev/null
+++ b/tests/slot_gate_test.cc
@@ -0,0 +1,300 @@
+#include "banyanloft/mesh/slot_gate.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "banyanloft/core/random.h"
+
+using namespace banyanloft;
+
+namespace {
+
+constexpr int kSlots = 4;
+
+SlotGateSettings SmallGate() {
+  SlotGateSettings settings;
+  settings.slots = kSlots;
+  return settings;
+}
+
+SlotWork WorkOf(uint64_t id, int urgency, const std::string& route,
+                int64_t aim_ms, TimeMs deadline) {
+  SlotWork work;
+  work.id = id;
+  work.urgency = urgency;
+  work.route = route;
+  work.aim_left_ms = aim_ms;
+  work.deadline = deadline;
+  return work;
+}
+
+constexpr int kUsualSlots = 18;
+constexpr int64_t kLongMs = 480;
+constexpr int64_t kUrgentMs = 80;
+
+/// Long, patient work at twice the capacity of a gate, and urgent work that
+/// needs a tenth of it. Counts what callers get.
+class FloodOfLongWork {
+ public:
+  explicit FloodOfLongWork(const SlotGateSettings& settings)
+      : gate_(settings), slots_(settings.slots) {}
+
+  /// Urgent work alone that takes twelve times as long as usual.
+  void SlowSpell() {
+    for (int i = 0; i < 40; ++i) {
+      SlotGate::Verdicts verdicts;
+      uint64_t id = (next_++) * 2;
+      gate_.Offer(now_, WorkOf(id, 1, "urgent", 250, now_ + 1500), &verdicts);
+      now_ = now_ + 100;
+      gate_.Finish(now_, id, 12 * kUrgentMs, &verdicts);
+    }
+  }
+
+  void Run(int64_t duration_ms) {
+    constexpr int64_t kStepMs = 5;
+    for (int64_t at = 0; at < duration_ms; at += kStepMs) {
+      now_ = now_ + kStepMs;
+      SlotGate::Verdicts verdicts;
+      EndRuns(&verdicts);
+      int64_t per_s = 2 * slots_ * 1000 / kLongMs;
+      if (Due(per_s, kStepMs)) Offer(false, &verdicts);
+      int64_t urgent_per_s = slots_ * 1000 / (10 * kUrgentMs);
+      if (Due(urgent_per_s, kStepMs)) Offer(true, &verdicts);
+      gate_.Tick(now_, &verdicts);
+      for (const SlotVerdict& verdict : verdicts) {
+        if (verdict.type != SlotVerdict::Type::kStart) continue;
+        bool urgent = verdict.id % 2 == 0;
+        if (urgent) ++urgent_started;
+        ends_.emplace(verdict.id, now_ + RunMs(urgent));
+      }
+      busy_ms += kStepMs * gate_.Running();
+    }
+  }
+
+  int urgent_offered = 0;
+  int urgent_started = 0;
+  int urgent_in_aim = 0;
+  int long_ended = 0;
+  int long_in_aim = 0;
+  int64_t busy_ms = 0;
+
+ private:
+  bool Due(int64_t per_s, int64_t step_ms) {
+    return random_.Below(1000) < static_cast<uint64_t>(per_s * step_ms);
+  }
+  /// Run times spread over half to one and a half of their mean.
+  int64_t RunMs(bool urgent) {
+    int64_t mean_ms = urgent ? kUrgentMs : kLongMs;
+    return mean_ms / 2 +
+           static_cast<int64_t>(random_.Below(static_cast<uint64_t>(mean_ms)));
+  }
+  void Offer(bool urgent, SlotGate::Verdicts* verdicts) {
+    uint64_t id = (next_++) * 2 + (urgent ? 0 : 1);
+    offered_[id] = now_;
+    urgent_offered += urgent ? 1 : 0;
+    gate_.Offer(now_,
+                urgent ? WorkOf(id, 1, "urgent", 250, now_ + 800)
+                       : WorkOf(id, 3, "long", 2500, now_ + 4000),
+                verdicts);
+  }
+  void EndRuns(SlotGate::Verdicts* verdicts) {
+    for (auto it = ends_.begin(); it != ends_.end();) {
+      if (now_ < it->second) {
+        ++it;
+        continue;
+      }
+      bool urgent = it->first % 2 == 0;
+      int64_t took_ms = now_ - offered_[it->first];
+      if (urgent && took_ms <= 250) ++urgent_in_aim;
+      if (!urgent) ++long_ended;
+      if (!urgent && took_ms <= 2500) ++long_in_aim;
+      gate_.Finish(now_, it->first, urgent ? kUrgentMs : kLongMs, verdicts);
+      it = ends_.erase(it);
+    }
+  }
+
+  SlotGate gate_;
+  int slots_;
+  Random random_{7};
+  TimeMs now_;
+  uint64_t next_ = 1;
+  std::map<uint64_t, TimeMs> ends_;
+  std::map<uint64_t, TimeMs> offered_;
+};
+
+}  // namespace
+
+TEST_GROUP(slot_gate) {
+  SlotGate gate_{SmallGate()};
+  SlotGate::Verdicts verdicts_;
+
+  /// Verdict on one piece of work; null while it waits.
+  const SlotVerdict* VerdictOf(uint64_t id) {
+    for (const SlotVerdict& verdict : verdicts_) {
+      if (verdict.id == id) return &verdict;
+    }
+    return nullptr;
+  }
+  bool Started(uint64_t id) {
+    const SlotVerdict* verdict = VerdictOf(id);
+    return verdict != nullptr && verdict->type == SlotVerdict::Type::kStart;
+  }
+  bool Refused(uint64_t id) {
+    const SlotVerdict* verdict = VerdictOf(id);
+    return verdict != nullptr && verdict->type == SlotVerdict::Type::kRefuse;
+  }
+  void FillSlots(TimeMs now) {
+    for (uint64_t id = 1; id <= kSlots; ++id)
+      gate_.Offer(now, WorkOf(id, 3, "long", 2000, now + 4000), &verdicts_);
+  }
+};
+
+TEST(slot_gate, offer_freeSlot_startsAtOnce) {
+  gate_.Offer(TimeMs(0), WorkOf(1, 1, "r", 200, TimeMs(800)), &verdicts_);
+  CHECK(Started(1));
+}
+
+TEST(slot_gate, offer_slotsFull_waitsAndStartsOnFinish) {
+  FillSlots(TimeMs(0));
+  gate_.Offer(TimeMs(10), WorkOf(9, 1, "r", 400, TimeMs(800)), &verdicts_);
+  CHECK(VerdictOf(9) == nullptr);
+  gate_.Finish(TimeMs(50), 1, 50, &verdicts_);
+  CHECK(Started(9));
+}
+
+TEST(slot_gate, finish_twoClassesWait_moreUrgentStartsFirst) {
+  FillSlots(TimeMs(0));
+  gate_.Offer(TimeMs(1), WorkOf(9, 3, "long", 2000, TimeMs(4000)), &verdicts_);
+  gate_.Offer(TimeMs(2), WorkOf(10, 0, "r", 300, TimeMs(800)), &verdicts_);
+  gate_.Finish(TimeMs(50), 1, 50, &verdicts_);
+  CHECK(Started(10));
+  CHECK(!Started(9));
+}
+
+TEST(slot_gate, offer_waitBeyondAim_refusedAtOnceWithARetryTime) {
+  FillSlots(TimeMs(0));
+  for (uint64_t id = 10; id < 40; ++id)
+    gate_.Offer(TimeMs(1), WorkOf(id, 3, "long", 300, TimeMs(4000)),
+                &verdicts_);
+  CHECK(Refused(39));
+  CHECK(VerdictOf(39)->retry_after_ms > 0);
+  CHECK(gate_.Waiting() < 30);
+}
+
+TEST(slot_gate, refusals_ofOneMoment_areToldDifferentTimes) {
+  FillSlots(TimeMs(0));
+  for (uint64_t id = 10; id < 60; ++id)
+    gate_.Offer(TimeMs(1), WorkOf(id, 3, "long", 300, TimeMs(4000)),
+                &verdicts_);
+  std::set<int64_t> times;
+  size_t refusals = 0;
+  for (const SlotVerdict& verdict : verdicts_) {
+    if (verdict.type != SlotVerdict::Type::kRefuse) continue;
+    ++refusals;
+    times.insert(verdict.retry_after_ms);
+  }
+  CHECK(refusals > 20);
+  CHECK(times.size() * 2 > refusals);
+}
+
+TEST(slot_gate, withdraw_waitingWork_neverStarts) {
+  FillSlots(TimeMs(0));
+  gate_.Offer(TimeMs(1), WorkOf(9, 1, "r", 400, TimeMs(800)), &verdicts_);
+  CHECK(gate_.Withdraw(9));
+  gate_.Finish(TimeMs(50), 1, 50, &verdicts_);
+  CHECK(!Started(9));
+}
+
+TEST(slot_gate, refuseAll_waitingWork_isRefusedForTheReason) {
+  FillSlots(TimeMs(0));
+  gate_.Offer(TimeMs(1), WorkOf(9, 1, "r", 400, TimeMs(800)), &verdicts_);
+  gate_.RefuseAll(ErrorKind::kDraining, &verdicts_);
+  CHECK(Refused(9));
+  CHECK(VerdictOf(9)->error == ErrorKind::kDraining);
+}
+
+TEST(slot_gate, solo_twoSuspects_runOneAfterTheOther) {
+  SlotWork first = WorkOf(1, 1, "r", 400, TimeMs(800));
+  SlotWork second = WorkOf(2, 1, "r", 400, TimeMs(800));
+  first.solo = second.solo = true;
+  gate_.Offer(TimeMs(0), first, &verdicts_);
+  gate_.Offer(TimeMs(0), second, &verdicts_);
+  CHECK(Started(1));
+  CHECK(!Started(2));
+  gate_.Finish(TimeMs(50), 1, 50, &verdicts_);
+  CHECK(Started(2));
+}
+
+/// The load: a backend server was twelve times slower for a while, then long
+/// work fills its slots. Urgent work must not be kept out by what was measured
+/// in the slow spell.
+TEST(slot_gate, urgentWork_afterASlowSpell_isServedAgain) {
+  SlotGateSettings settings;
+  settings.slots = kUsualSlots;
+  FloodOfLongWork flood(settings);
+  flood.SlowSpell();
+  flood.Run(10000);
+  CHECK(flood.urgent_started * 100 >= flood.urgent_offered * 95);
+}
+
+/// The load: a flood of long, patient work at twice the capacity, urgent work
+/// beside it. What callers get: urgent work within its aim, long work up to
+/// the capacity that is left, refusals at once.
+TEST(slot_gate, floodOfLongWork_urgentMeetsItsAim_capacityIsUsed) {
+  SlotGateSettings settings;
+  settings.slots = kUsualSlots;
+  FloodOfLongWork flood(settings);
+  flood.Run(15000);
+  CHECK(flood.urgent_in_aim * 100 >= flood.urgent_offered * 97);
+  CHECK(flood.busy_ms * 100 >= int64_t{15000} * kUsualSlots * 95);
+  printf("%d %d\n",flood.long_in_aim,flood.long_ended);
+  CHECK(flood.long_in_aim * 100 >= flood.long_ended * 95);
+}
+
+TEST(slot_gate, randomSequences_slotsAndBooksHold) {
+  Random random(11);
+  for (int round = 0; round < 50; ++round) {
+    SlotGate gate(SmallGate());
+    std::set<uint64_t> running;
+    std::set<uint64_t> pending;
+    uint64_t next = 1;
+    TimeMs now(0);
+    for (int step = 0; step < 300; ++step) {
+      now = now + static_cast<int64_t>(random.Below(30));
+      SlotGate::Verdicts verdicts;
+      switch (random.Below(4)) {
+        case 0:
+        case 1: {
+          uint64_t id = next++;
+          pending.insert(id);
+          gate.Offer(now,
+                     WorkOf(id, static_cast<int>(random.Below(4)), "r",
+                            static_cast<int64_t>(random.Below(500)),
+                            now + static_cast<int64_t>(random.Below(1000))),
+                     &verdicts);
+          break;
+        }
+        case 2:
+          if (!running.empty()) {
+            uint64_t id = *running.begin();
+            running.erase(running.begin());
+            gate.Finish(now, id, 20, &verdicts);
+          }
+          break;
+        default:
+          gate.Tick(now, &verdicts);
+      }
+      for (const SlotVerdict& verdict : verdicts) {
+        CHECK(pending.erase(verdict.id) == 1);
+        if (verdict.type == SlotVerdict::Type::kStart)
+          running.insert(verdict.id);
+      }
+      CHECK(gate.Running() <= kSlots);
+      LONGS_EQUAL(running.size(), gate.Running());
+      LONGS_EQUAL(pending.size(), gate.Waiting());
+    }
+  }
+}
