Urgency by the route's priority alone, earliest aim first within it

Cause: nested calls were told by the sender's address.

Change: no guess at nested calls. Class = priority of the route; within a class the earliest aim first, which puts short calls ahead; the most urgent class waits to its deadline.

--- a/banyanloft/http/http_message.h
+++ b/banyanloft/http/http_message.h
@@ -20,7 +20,6 @@
   std::string target = "/";  ///< Path and query.
   HttpHeaders headers;
   std::string body;
-  std::string from_ip;  ///< With a received request: address of its sender.
 };
 
 /// An answer as received or to be sent.
--- a/banyanloft/http/http_server.cc
+++ b/banyanloft/http/http_server.cc
@@ -190,9 +190,6 @@
                                    std::string(field.value()));
     }
     request.body = std::move(message.body());
-    beast::error_code ignored;
-    request.from_ip =
-        stream_.socket().remote_endpoint(ignored).address().to_string();
 
     stream_.expires_never();
     request_id_ = server_->next_request_++;
--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -176,7 +176,7 @@
   return Tagged(
       MessageTag::kForwardRequest,
       Json::array({m.attempt, m.request_id, m.caller, m.service, m.route,
-                   m.idempotent, m.nested, m.priority, m.aim_left_ms,
+                   m.idempotent, m.priority, m.aim_left_ms,
                    m.remaining_ms, m.method, BytesValue(m.target),
                    EncodeHeaders(m.headers), BytesValue(m.body)}));
 }
@@ -189,7 +189,6 @@
   m.service = r->String();
   m.route = r->String();
   m.idempotent = r->Bool();
-  m.nested = r->Bool();
   m.priority = r->Int();
   m.aim_left_ms = r->Integer();
   m.remaining_ms = r->Integer();
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -81,7 +81,7 @@
   }
   SlotWork offer;
   offer.id = id;
-  offer.urgency = UrgencyOf(work.request.nested, work.request.priority);
+  offer.urgency = UrgencyOf(work.request.priority);
   offer.route = work.request.route;
   offer.aim_left_ms = work.request.aim_left_ms;
   offer.deadline = work.deadline;
@@ -136,18 +136,20 @@
                            Actions* actions) {
   const Work& work = works_.at(id);
   counters_.Add("run_refusals_total", std::string(NameOf(error)));
-  actions->push_back(
-      LogRecord{LogLevel::kInfo,
-                "run_refused",
-                {{"request", work.request.request_id},
-                 {"error", std::string(NameOf(error))},
-                 {"instance", registry_.Last().id},
-                 {"instance_state", NameOf(registry_.State())},
-                 {"running", std::to_string(gate_.Running())},
-                 {"waiting", std::to_string(gate_.Waiting())},
-                 {"expected_wait_ms", std::to_string(expected_wait_ms)},
-                 {"waited_ms", std::to_string(now - work.arrived)},
-                 {"retry_after_ms", std::to_string(retry_after_ms)}}});
+  actions->push_back(LogRecord{
+      LogLevel::kInfo,
+      "run_refused",
+      {{"request", work.request.request_id},
+       {"error", std::string(NameOf(error))},
+       {"instance", registry_.Last().id},
+       {"instance_state", NameOf(registry_.State())},
+       {"urgency", std::to_string(UrgencyOf(work.request.priority))},
+       {"cost_ms", std::to_string(gate_.CostMs(now, work.request.route))},
+       {"running", std::to_string(gate_.Running())},
+       {"waiting", std::to_string(gate_.Waiting())},
+       {"expected_wait_ms", std::to_string(expected_wait_ms)},
+       {"waited_ms", std::to_string(now - work.arrived)},
+       {"retry_after_ms", std::to_string(retry_after_ms)}}});
   ForwardAnswer answer;
   answer.run_state = RunState::kNotRun;
   answer.error = error;
--- a/banyanloft/mesh/edge_protocol.h
+++ b/banyanloft/mesh/edge_protocol.h
@@ -25,10 +25,8 @@
 /// renames, parses and prints. All functions are free of I/O and state.
 class EdgeProtocol : public ConfigurationReader {
  public:
-  /// A client's request; an error if it breaks the protocol. `own_ip`: requests
-  /// from this address are made by the backend server beside this daemon.
-  virtual Result<MeshRequest> ReadClientRequest(
-      HttpRequest request, const std::string& own_ip) const = 0;
+  /// A client's request; an error if it breaks the protocol.
+  virtual Result<MeshRequest> ReadClientRequest(HttpRequest request) const = 0;
   /// The HTTP answer to a client.
   virtual HttpResponse WriteClientAnswer(MeshAnswer answer) const = 0;
 
--- a/banyanloft/mesh/forwarder.cc
+++ b/banyanloft/mesh/forwarder.cc
@@ -67,7 +67,7 @@
       directory_->CandidatesOf(pending.service);
   TargetQuery query;
   query.route = route.id;
-  query.urgency = UrgencyOf(pending.request.nested, route.priority);
+  query.urgency = UrgencyOf(route.priority);
   query.aim_left_ms = pending.arrived + route.aim_ms - now;
   std::optional<TargetChoice> choice;
   if (!candidates.empty())
@@ -101,7 +101,6 @@
   forward.service = pending.service;
   forward.route = route.id;
   forward.idempotent = route.idempotent;
-  forward.nested = pending.request.nested;
   forward.priority = route.priority;
   forward.aim_left_ms = query.aim_left_ms;
   forward.remaining_ms = left_ms;
--- a/banyanloft/mesh/mesh_message.h
+++ b/banyanloft/mesh/mesh_message.h
@@ -11,22 +11,19 @@
 
 namespace banyanloft {
 
-/// Classes of urgency at a target's gate: calls that targets make while they
-/// hold a slot, then the priorities of routes; lower priorities share the last.
+/// Classes of urgency at a target's gate: the priorities of routes; lower ones
+/// share the last class.
 inline constexpr int kUrgencyClasses = 4;
 
-/// Class of a request; 0 is the most urgent.
-inline int UrgencyOf(bool nested, int priority) {
-  if (nested) return 0;
-  int cls = priority + 1;
-  return cls < kUrgencyClasses ? cls : kUrgencyClasses - 1;
+/// Class of a route's requests; 0 is the most urgent.
+inline int UrgencyOf(int priority) {
+  return priority < kUrgencyClasses ? priority : kUrgencyClasses - 1;
 }
 
 /// A client's request, decoded from the wire.
 struct MeshRequest {
   std::string request_id;  ///< Unique for each attempt of a client.
   int64_t wait_ms = 0;     ///< Time that the client waits, in ms; 0: not told.
-  bool nested = false;     ///< Sent by the backend server beside this daemon.
   std::string method;
   std::string host;
   std::string target;   ///< Path and query.
@@ -59,7 +56,6 @@
   std::string service;      ///< Service that is to run it.
   std::string route;        ///< Id of the route.
   bool idempotent = false;  ///< May run more than once.
-  bool nested = false;
   int priority = 0;
   int64_t aim_left_ms = 0;   ///< Time left for full credit, in ms.
   int64_t remaining_ms = 0;  ///< Time left for the final answer, in ms.
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -329,7 +329,7 @@
   for (ForwarderAction& action : list) {
     if (auto* send = std::get_if<SendForward>(&action)) {
       if (send->target != id_) {
-        int rank = UrgencyOf(send->request.nested, send->request.priority);
+        int rank = UrgencyOf(send->request.priority);
         actions->push_back(
             SendPeer{LinkOf(send->target), rank, std::move(send->request)});
         continue;
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -319,8 +319,7 @@
 }
 
 void Sidecar::Impl::OnClientRequest(uint64_t id, HttpRequest request) {
-  Result<MeshRequest> read =
-      protocol_->ReadClientRequest(std::move(request), settings_.clients.ip);
+  Result<MeshRequest> read = protocol_->ReadClientRequest(std::move(request));
   if (const Error* error = ErrorOf(read)) {
     Log(LogLevel::kWarning, "request_malformed", {{"detail", error->detail}});
     return client_server_->Reply(id, Refusal(error->kind));
--- a/banyanloft/mesh/slot_gate.cc
+++ b/banyanloft/mesh/slot_gate.cc
@@ -62,7 +62,9 @@
   int64_t late_ms = std::max<int64_t>(0, work.deadline - work.offered) *
                     settings_.late_patience_permille / kPermille;
   if (spare_ms <= 0) spare_ms = late_ms;
-  // A nested call that is refused fails the request that holds a slot for it.
+  // The most urgent class is served before all others: its waits are short, and
+  // nested calls are among it, whose refusal fails the request that holds a
+  // slot for them.
   if (work.urgency == 0) spare_ms = work.deadline - work.offered;
   return std::max(spare_ms, settings_.min_patience_ms);
 }
@@ -85,10 +87,20 @@
   bool full = static_cast<size_t>(Waiting()) >= settings_.max_waiting;
   if (full || wait_ms > PatienceMs(now, work))
     return Refuse(work, ErrorKind::kOverloaded, wait_ms, verdicts);
-  waiting_[static_cast<size_t>(work.urgency)].push_back(std::move(work));
+  Queue(std::move(work));
   Fill(now, verdicts);
 }
 
+/// Within a class the earliest aim is served first.
+void SlotGate::Queue(SlotWork work) {
+  std::deque<SlotWork>& queue = waiting_[static_cast<size_t>(work.urgency)];
+  auto at = std::upper_bound(queue.begin(), queue.end(), work,
+                             [](const SlotWork& a, const SlotWork& b) {
+                               return a.AimAt() < b.AimAt();
+                             });
+  queue.insert(at, std::move(work));
+}
+
 void SlotGate::Finish(TimeMs now, uint64_t id, int64_t run_ms,
                       Verdicts* verdicts) {
   auto it = running_.find(id);
--- a/banyanloft/mesh/slot_gate.h
+++ b/banyanloft/mesh/slot_gate.h
@@ -50,6 +50,9 @@
   TimeMs offered;
   TimeMs deadline;    ///< Time of the final answer.
   bool solo = false;  ///< Must not run beside other solo work.
+
+  /// End of the time for full credit.
+  TimeMs AimAt() const { return offered + aim_left_ms; }
 };
 
 /// What the gate decided about one piece of work.
@@ -88,6 +91,10 @@
   int Running() const { return static_cast<int>(running_.size()); }
   int Waiting() const;
   TargetLoad Load() const;
+  /// Measured mean run time of a route, in ms; negative if there is none.
+  int64_t CostMs(TimeMs now, const std::string& route) const {
+    return run_times_.MeanMs(now, route);
+  }
   /// Expected wait of new work, in ms.
   int64_t ExpectedWaitMs(TimeMs now, int urgency) const;
 
@@ -104,6 +111,7 @@
   }
   int64_t PatienceMs(TimeMs now, const SlotWork& work) const;
   bool TooLate(TimeMs now, const SlotWork& work, int64_t wait_ms) const;
+  void Queue(SlotWork work);
   bool FindNext(TimeMs now, size_t* urgency) const;
   bool Startable(const SlotWork& work) const;
   void Start(TimeMs now, const SlotWork& work, Verdicts* verdicts);
--- a/tests/slot_gate_test.cc
+++ b/tests/slot_gate_test.cc
@@ -174,6 +174,21 @@
   CHECK(!Started(9));
 }
 
+TEST(slot_gate, finish_sameClass_earliestAimStartsFirst) {
+  FillSlots(TimeMs(0));
+  gate_.Offer(TimeMs(1), WorkOf(9, 0, "r", 250, TimeMs(800)), &verdicts_);
+  gate_.Offer(TimeMs(2), WorkOf(10, 0, "call", 120, TimeMs(400)), &verdicts_);
+  gate_.Finish(TimeMs(50), 1, 50, &verdicts_);
+  CHECK(Started(10));
+  CHECK(!Started(9));
+}
+
+TEST(slot_gate, urgency_followsTheRoutesPriority) {
+  LONGS_EQUAL(0, UrgencyOf(0));
+  LONGS_EQUAL(2, UrgencyOf(2));
+  LONGS_EQUAL(kUrgencyClasses - 1, UrgencyOf(99));
+}
+
 TEST(slot_gate, offer_waitBeyondAim_refusedAtOnceWithARetryTime) {
   FillSlots(TimeMs(0));
   for (uint64_t id = 10; id < 40; ++id)
