--- a/banyanloft/links/link_hub.cc
+++ b/banyanloft/links/link_hub.cc
@@ -79,6 +79,7 @@
     std::chrono::steady_clock::time_point last_heard;
     std::chrono::steady_clock::time_point pinged;
     bool ping_out = false;  ///< Nothing was heard since the last ping.
+    bool silence_told = false;
     std::chrono::steady_clock::time_point opened;
   };
   using LinkPtr = std::shared_ptr<Link>;
@@ -353,12 +354,16 @@
   }
   if (link->ping_out) {
     if (now - link->pinged > Ms(settings_.ping_timeout_ms))
-      Drop(link, "peer is silent");
+      return Drop(link, "peer is silent");
+    bool silent = now - link->pinged > Ms(settings_.silent_after_ms);
+    if (silent && !link->silence_told) listener_->OnLinkSilent(link->peer);
+    link->silence_told = link->silence_told || silent;
     return;
   }
   bool in_use = now - link->last_use < Ms(settings_.watch_ms);
   if (!in_use || now - link->last_heard < Ms(settings_.ping_after_ms)) return;
   link->ping_out = true;
+  link->silence_told = false;
   link->pinged = now;
   link->ping();
 }
--- a/banyanloft/links/link_hub.h
+++ b/banyanloft/links/link_hub.h
@@ -22,7 +22,10 @@
   int64_t idle_timeout_ms =
       120000;  ///< Unused links are closed after this time, in ms.
   /// A link in use from which nothing came for this long is pinged, in ms.
-  int64_t ping_after_ms = 250;
+  int64_t ping_after_ms = 150;
+  /// A ping without any sign of the peer for this long is told as silence, in
+  /// ms: many times the way between availability zones and back.
+  int64_t silent_after_ms = 150;
   /// A ping without any sign of the peer for this long ends the link, in ms:
   /// several times the way to the farthest availability zone and back.
   int64_t ping_timeout_ms = 600;
@@ -44,6 +47,8 @@
   virtual void OnLinkNotSent(const std::string& link, PeerMessage message) = 0;
   /// A link with messages under way was lost.
   virtual void OnLinkLost(const std::string& link) = 0;
+  /// A peer shows no sign; its link is not yet given up.
+  virtual void OnLinkSilent(const std::string& link) { (void)link; }
 };
 
 /// The links to peers: websockets that carry CBOR messages in bounded frames,
--- a/banyanloft/mesh/forwarder.h
+++ b/banyanloft/mesh/forwarder.h
@@ -99,6 +99,10 @@
   void OnNotSent(TimeMs now, uint64_t attempt, Actions* actions);
   /// The link to a member was lost with attempts under way.
   void OnTargetLost(TimeMs now, MemberId target, Actions* actions);
+  /// A member shows no sign; nothing more is sent to it for now.
+  void OnTargetSilent(TimeMs now, MemberId target) {
+    board_.Avoid(now, target);
+  }
   /// Deadlines; to be called every 20 ms or so.
   void Tick(TimeMs now, Actions* actions);
 
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -131,6 +131,12 @@
   CarryForwarder(now, std::move(requests), actions);
 }
 
+void MeshNode::OnPeerSilent(TimeMs now, const std::string& link) {
+  counters_.Add("peers_silent_total");
+  const MemberRecord* member = membership_.FindByLink(link);
+  if (member != nullptr) forwarder_.OnTargetSilent(now, member->id);
+}
+
 void MeshNode::OnDatagram(TimeMs now, const Datagram& datagram,
                           Actions* actions) {
   std::vector<DatagramOut> out;
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -67,6 +67,7 @@
                      Actions* actions);
   void OnPeerNotSent(TimeMs now, const PeerMessage& message, Actions* actions);
   void OnPeerLost(TimeMs now, const std::string& link, Actions* actions);
+  void OnPeerSilent(TimeMs now, const std::string& link);
   void OnDatagram(TimeMs now, const Datagram& datagram, Actions* actions);
   /// The store.
   void OnStore(TimeMs now, const PlatformReply& reply, Actions* actions);
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -116,6 +116,9 @@
   void OnLinkMessage(const std::string& link, PeerMessage message) override;
   void OnLinkNotSent(const std::string& link, PeerMessage message) override;
   void OnLinkLost(const std::string& link) override;
+  void OnLinkSilent(const std::string& link) override {
+    node_->OnPeerSilent(clock_.Now(), link);
+  }
 
   void Decide(const std::function<void(TimeMs, MeshNode::Actions*)>& step);
   void Carry(MeshNodeAction action);
