Hand on no request whose client left before it was read

Change: the server looks for the client's end before it hands a request on. Test: a client that writes and leaves before the loop runs (fails without the check).

Not covered: a withdrawal that lies behind its request in a late peer's buffer.

--- a/banyanloft/http/http_server.cc
+++ b/banyanloft/http/http_server.cc
@@ -192,6 +192,8 @@
     request.body = std::move(message.body());
 
     stream_.expires_never();
+    // A process that ran late may read a request whose client has given up.
+    if (ClientLeft()) return;
     request_id_ = server_->next_request_++;
     server_->waiting_[request_id_] = shared_from_this();
     WatchClient();
@@ -209,15 +211,17 @@
         });
   }
 
-  /// Bytes of a next request may be there: then only looking again and again
-  /// shows whether the client left.
-  void LookAtClient() {
+  bool ClientLeft() {
     char byte = 0;
     ssize_t got = recv(stream_.socket().native_handle(), &byte, 1,
                        MSG_PEEK | MSG_DONTWAIT);
-    bool left =
-        got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    if (left) return OnClientLeft();
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
+  /// Bytes of a next request may be there: then only looking again and again
+  /// shows whether the client left.
+  void LookAtClient() {
+    if (ClientLeft()) return OnClientLeft();
     probe_.expires_after(std::chrono::milliseconds(kProbePeriodMs));
     probe_.async_wait([self = shared_from_this()](beast::error_code error) {
       if (!error && self->request_id_ != 0) self->LookAtClient();
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -20,6 +20,7 @@
 class EchoHandler final : public HttpHandler {
  public:
   void OnRequest(uint64_t id, HttpRequest request) override {
+    ++requests;
     if (request.body == "hold") return;
     HttpResponse response;
     response.body = request.body;
@@ -32,6 +33,7 @@
 
   HttpServer* server = nullptr;
   std::atomic<int> abandoned{0};
+  std::atomic<int> requests{0};
 };
 
 /// A peer that takes one connection and plays a fixed part.
@@ -127,6 +129,26 @@
   CHECK(outcome.response.body == "a body");
 }
 
+TEST(http, clientGoneBeforeItsRequestIsRead_requestIsNotHandedOn) {
+  asio::io_context own;
+  EchoHandler handler;
+  HttpServer late(own, settings_, &handler);
+  handler.server = &late;
+  Endpoint at = *ValueOf(late.Start());
+  {
+    asio::io_context io;
+    Tcp::socket socket(io);
+    socket.connect(Tcp::endpoint(asio::ip::address_v4::loopback(), at.port));
+    asio::write(socket,
+                asio::buffer(std::string("POST / HTTP/1.1\r\nHost: a\r\n"
+                                         "Content-Length: 4\r\n\r\nhold")));
+  }
+  // The server's loop runs only after the client has left.
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  own.run_for(std::chrono::milliseconds(200));
+  LONGS_EQUAL(0, handler.requests);
+}
+
 TEST(http, malformedRequests_get400) {
   for (const char* bytes :
        {"nonsense\r\n\r\n", "GET / HTTP/9.9\r\n\r\n", "GET  HTTP/1.1\r\n\r\n",
