Keep the platform's object keys in its adapter; name the splitter by its weights

Cause: reading the diff as a newcomer: the follower's default key was the platform's, and a file name read like a field of its pages.

Change: names only.

--- a/banyanloft/mesh/config_follower.h
+++ b/banyanloft/mesh/config_follower.h
@@ -26,8 +26,8 @@
 
 /// Settings of following the configuration.
 struct ConfigFollowerSettings {
-  std::string prefix = "config/";   ///< Keys among which the document lies.
-  std::string key = "config/main";  ///< Key of the document.
+  std::string prefix = "documents/";  ///< Keys among which the document lies.
+  std::string key = "documents/routes";  ///< Key of the document.
   /// Longest wait of one watch, in ms. It bounds for how long a watch whose
   /// connection died in silence goes unnoticed.
   int64_t watch_wait_ms = 2000;
--- a/banyanloft/mesh/forwarder.h
+++ b/banyanloft/mesh/forwarder.h
@@ -15,7 +15,7 @@
 #include "banyanloft/mesh/retry_budget.h"
 #include "banyanloft/mesh/route_table.h"
 #include "banyanloft/mesh/target_board.h"
-#include "banyanloft/mesh/traffic_splitter.h"
+#include "banyanloft/mesh/weight_splitter.h"
 
 namespace banyanloft {
 
@@ -151,7 +151,7 @@
   const CandidateDirectory* directory_;
   Random random_;
   RouteTablePtr table_;
-  TrafficSplitter splitter_;
+  WeightSplitter splitter_;
   TargetBoard board_;
   RetryBudget budget_;
   std::map<uint64_t, Pending> requests_;
--- a/banyanloft/mesh/traffic_splitter.cc
+++ b/banyanloft/mesh/weight_splitter.cc
@@ -1,4 +1,4 @@
-#include "banyanloft/mesh/traffic_splitter.h"
+#include "banyanloft/mesh/weight_splitter.h"
 
 #include <algorithm>
 #include <cassert>
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-const std::string& TrafficSplitter::Next(const HttpRoute& route) {
+const std::string& WeightSplitter::Next(const HttpRoute& route) {
   assert(!route.split.empty());
   if (route.split.size() == 1) return route.split[0].service;
 
--- a/banyanloft/mesh/traffic_splitter.h
+++ b/banyanloft/mesh/weight_splitter.h
@@ -13,9 +13,9 @@
 /// Distributes the requests of a route over its services in the proportions of
 /// their weights, evenly over short spans too: each service collects credit by
 /// its weight, the richest is chosen. Deterministic; not thread safe.
-class TrafficSplitter {
+class WeightSplitter {
  public:
-  explicit TrafficSplitter(uint64_t seed) : random_(seed) {}
+  explicit WeightSplitter(uint64_t seed) : random_(seed) {}
 
   /// The service of the route's next request.
   const std::string& Next(const HttpRoute& route);
--- a/tests/config_follower_test.cc
+++ b/tests/config_follower_test.cc
@@ -44,7 +44,7 @@
     PlatformReply reply;
     reply.revision = revision;
     if (!value.empty())
-      reply.objects.push_back({"config/main", revision, value});
+      reply.objects.push_back({ConfigFollowerSettings().key, revision, value});
     follower_.OnStore(now, reply, &actions_);
   }
   void Failure(TimeMs now, ErrorKind kind) {
--- a/tests/mesh_routing_test.cc
+++ b/tests/mesh_routing_test.cc
@@ -5,7 +5,7 @@
 #include "banyanloft/mesh/retry_budget.h"
 #include "banyanloft/mesh/route_table.h"
 #include "banyanloft/mesh/target_board.h"
-#include "banyanloft/mesh/traffic_splitter.h"
+#include "banyanloft/mesh/weight_splitter.h"
 
 using namespace banyanloft;
 
@@ -68,14 +68,14 @@
   CHECK(ErrorOf(made) != nullptr);
 }
 
-TEST_GROUP(traffic_splitter){};
+TEST_GROUP(weight_splitter){};
 
-TEST(traffic_splitter, next_weights_areKeptOverShortSpans) {
+TEST(weight_splitter, next_weights_areKeptOverShortSpans) {
   HttpRoute route = HttpRouteBuilder("r", "a.example", "/")
                         .To("one", 90)
                         .To("two", 10)
                         .Build();
-  TrafficSplitter splitter(3);
+  WeightSplitter splitter(3);
   for (int span = 0; span < 20; ++span) {
     int two = 0;
     for (int i = 0; i < 20; ++i) two += splitter.Next(route) == "two" ? 1 : 0;
@@ -83,10 +83,10 @@
   }
 }
 
-TEST(traffic_splitter, next_weightZero_getsNothing) {
+TEST(weight_splitter, next_weightZero_getsNothing) {
   HttpRoute route =
       HttpRouteBuilder("r", "a.example", "/").To("one", 1).To("two", 0).Build();
-  TrafficSplitter splitter(3);
+  WeightSplitter splitter(3);
   for (int i = 0; i < 50; ++i)
     STRCMP_EQUAL("one", splitter.Next(route).c_str());
 }
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -285,6 +285,7 @@
   LONGS_EQUAL(200, settings->node.forwarder.budget.ratio_permille);
   LONGS_EQUAL(56, settings->node.forwarder.budget.slack);
   CHECK(settings->node.drain_max_ms < 6000);
+  STRCMP_EQUAL("config/main", settings->node.config.key.c_str());
 }
 
 TEST(platform_protocol, settings_mistakes_areAllNamed) {
