--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -173,12 +173,11 @@
 }
 
 Json Encode(const ForwardRequest& m) {
-  return Tagged(
-      MessageTag::kForwardRequest,
-      Json::array({m.attempt, m.request_id, m.caller, m.service, m.route,
-                   m.idempotent, m.priority, m.aim_left_ms,
-                   m.remaining_ms, m.method, BytesValue(m.target),
-                   EncodeHeaders(m.headers), BytesValue(m.body)}));
+  return Tagged(MessageTag::kForwardRequest,
+                Json::array({m.attempt, m.request_id, m.caller, m.service,
+                             m.route, m.idempotent, m.priority, m.aim_left_ms,
+                             m.remaining_ms, m.method, BytesValue(m.target),
+                             EncodeHeaders(m.headers), BytesValue(m.body)}));
 }
 
 ForwardRequest ReadForwardRequest(CborReader* r) {
