--- a/tests/slot_gate_test.cc
+++ b/tests/slot_gate_test.cc
@@ -184,9 +184,8 @@
   /// Run times spread over half to one and a half of their mean.
   int64_t RunMs(Kind kind) {
     int64_t mean_ms = kind == kPayment ? 84 : kind == kCall ? 30 : 480;
-    return mean_ms / 2 +
-           static_cast<int64_t>(
-               run_random_.Below(static_cast<uint64_t>(mean_ms)));
+    return mean_ms / 2 + static_cast<int64_t>(
+                             run_random_.Below(static_cast<uint64_t>(mean_ms)));
   }
   void Offer(Kind kind, SlotGate::Verdicts* verdicts) {
     uint64_t id = next_++;
@@ -218,7 +217,7 @@
   }
 
   SlotGate gate_;
-  Random random_{5};    ///< Arrivals.
+  Random random_{5};      ///< Arrivals.
   Random run_random_{6};  ///< Run times.
   TimeMs now_;
   uint64_t next_ = 1;
