Keep slots free of long work only

Only work that would keep its slot for longer than the aim of more urgent work is held back now, and never from a quarter of the slots.

--- a/banyanloft/mesh/slot_gate.cc
+++ b/banyanloft/mesh/slot_gate.cc
@@ -32,7 +32,8 @@
 
 /// Work ahead divided over the slots, where those that more urgent classes
 /// take do not count.
-int64_t SlotGate::ExpectedWaitMs(TimeMs now, int urgency) const {
+int64_t SlotGate::ExpectedWaitMs(TimeMs now, const SlotWork& offer) const {
+  int urgency = offer.urgency;
   int slots = settings_.slots;
   int64_t ahead_ms = 0;
   int ahead = 0;
@@ -47,7 +48,7 @@
   for (const auto& [id, work] : running_)
     running_ms += CostMs(now, work.route, work.aim_ms);
   int busy = std::max(1, Running());
-  int urgent = SlotsForUrgent(static_cast<size_t>(urgency));
+  int urgent = SlotsForUrgent(now, offer);
   int left = std::max(slots / 4, std::max(1, slots - urgent));
   return (ahead_ms + running_ms / busy) / left;
 }
@@ -82,10 +83,21 @@
   return wait_ms + cost_ms >= left_ms;
 }
 
+/// Mean aim of what is offered to a class, without what comes too late for its
+/// own.
+void SlotGate::NoteAim(const SlotWork& work) {
+  constexpr int64_t kShare = 16;
+  if (work.aim_left_ms <= 0) return;
+  int64_t& mean = aim_ms_[static_cast<size_t>(work.urgency)];
+  mean =
+      mean == 0 ? work.aim_left_ms : mean + (work.aim_left_ms - mean) / kShare;
+}
+
 void SlotGate::Offer(TimeMs now, SlotWork work, Verdicts* verdicts) {
   work.offered = now;
+  NoteAim(work);
   work.due = MissesAim(now, work) ? work.deadline : now + work.aim_left_ms;
-  int64_t wait_ms = ExpectedWaitMs(now, work.urgency);
+  int64_t wait_ms = ExpectedWaitMs(now, work);
   if (wait_ms > 0 && TooLate(now, work, wait_ms))
     return Refuse(work, ErrorKind::kDeadlineUnmeetable, wait_ms, verdicts);
   bool full = static_cast<size_t>(Waiting()) >= settings_.max_waiting;
@@ -148,7 +160,7 @@
       }
       ErrorKind error =
           no_time ? ErrorKind::kDeadlineUnmeetable : ErrorKind::kOverloaded;
-      Refuse(*it, error, ExpectedWaitMs(now, static_cast<int>(cls)), verdicts);
+      Refuse(*it, error, ExpectedWaitMs(now, *it), verdicts);
       it = queue.erase(it);
     }
   }
@@ -163,28 +175,42 @@
   int needed = 0;
   for (size_t cls = 0; cls < waiting_.size(); ++cls) {
     needed += running_by_class_[cls] + static_cast<int>(waiting_[cls].size());
+    needed = std::min(needed, settings_.slots);
     int64_t& mean = demand_permille_[cls];
     mean += (needed * kPermille - mean) / settings_.demand_ticks;
   }
 }
 
-/// Slots that classes more urgent than this one hold now or, by what they
-/// lately needed, will soon.
-int SlotGate::SlotsForUrgent(size_t urgency) const {
-  if (urgency == 0) return 0;
+/// Whether work would keep its slot for longer than more urgent work can wait
+/// for it. Shorter work is over before it makes others late.
+bool SlotGate::HoldsUpUrgent(TimeMs now, const SlotWork& work) const {
+  int64_t cost_ms = CostMs(now, work);
+  for (size_t cls = 0; cls < static_cast<size_t>(work.urgency); ++cls) {
+    if (aim_ms_[cls] > 0 && cost_ms > aim_ms_[cls]) return true;
+  }
+  return false;
+}
+
+/// Slots that classes more urgent than this work's hold now or, if it would
+/// hold them up, will soon by what they lately needed.
+int SlotGate::SlotsForUrgent(TimeMs now, const SlotWork& work) const {
+  size_t urgency = static_cast<size_t>(work.urgency);
   int held = 0;
   for (size_t cls = 0; cls < urgency; ++cls) held += running_by_class_[cls];
+  if (!HoldsUpUrgent(now, work)) return held;
   int64_t needed_permille =
       demand_permille_[urgency - 1] * settings_.reserve_permille / kPermille;
-  return std::max(held, static_cast<int>(needed_permille / kPermille));
+  int needed = static_cast<int>(needed_permille / kPermille);
+  return std::max(held, std::min(needed, settings_.slots * 3 / 4));
 }
 
-/// Whether the free slots are kept for more urgent classes.
-bool SlotGate::Reserved(size_t urgency) const {
+/// Whether the free slots are kept for more urgent work than this.
+bool SlotGate::Reserved(TimeMs now, const SlotWork& work) const {
   int others = 0;
-  for (size_t cls = urgency; cls < waiting_.size(); ++cls)
+  for (size_t cls = static_cast<size_t>(work.urgency); cls < waiting_.size();
+       ++cls)
     others += running_by_class_[cls];
-  return others + SlotsForUrgent(urgency) >= settings_.slots;
+  return others + SlotsForUrgent(now, work) >= settings_.slots;
 }
 
 /// The most urgent class that waits, unless a less urgent one is owed a start.
@@ -192,8 +218,9 @@
   bool found = false;
   for (size_t cls = 0; cls < waiting_.size(); ++cls) {
     if (waiting_[cls].empty() || !Startable(waiting_[cls].front())) continue;
-    bool owed = owed_ms_[cls] >= CostMs(now, waiting_[cls].front());
-    if (!owed && Reserved(cls)) continue;
+    const SlotWork& work = waiting_[cls].front();
+    bool owed = owed_ms_[cls] >= CostMs(now, work);
+    if (!owed && Reserved(now, work)) continue;
     if (!found || owed) *urgency = cls;
     found = true;
   }
--- a/banyanloft/mesh/slot_gate.h
+++ b/banyanloft/mesh/slot_gate.h
@@ -36,9 +36,9 @@
   /// Shortest wait that is always tolerated, in ms: below it, refusing costs
   /// the client more than waiting.
   int64_t min_patience_ms = 40;
-  /// Slots kept free for more urgent classes, in 1/1000 of the slots that they
-  /// lately needed: random arrivals need that much more at their peaks. Long
-  /// work that is started keeps its slot for several times their aim.
+  /// Slots kept free of long work for more urgent classes, in 1/1000 of those
+  /// that they lately needed: random arrivals need that much more at their
+  /// peaks.
   int64_t reserve_permille = 1300;
   /// Weight of one tick in the mean of needed slots, 1 / 50: with a tick each
   /// 20 ms it covers the last second.
@@ -103,7 +103,7 @@
     return run_times_.MeanMs(now, route);
   }
   /// Expected wait of new work, in ms.
-  int64_t ExpectedWaitMs(TimeMs now, int urgency) const;
+  int64_t ExpectedWaitMs(TimeMs now, const SlotWork& offer) const;
 
  private:
   struct RunningWork {
@@ -121,8 +121,10 @@
   bool TooLate(TimeMs now, const SlotWork& work, int64_t wait_ms) const;
   void Queue(SlotWork work);
   void MeasureDemand();
-  int SlotsForUrgent(size_t urgency) const;
-  bool Reserved(size_t urgency) const;
+  void NoteAim(const SlotWork& work);
+  bool HoldsUpUrgent(TimeMs now, const SlotWork& work) const;
+  int SlotsForUrgent(TimeMs now, const SlotWork& work) const;
+  bool Reserved(TimeMs now, const SlotWork& work) const;
   bool FindNext(TimeMs now, size_t* urgency) const;
   bool Startable(const SlotWork& work) const;
   void Start(TimeMs now, const SlotWork& work, Verdicts* verdicts);
@@ -139,6 +141,7 @@
   /// Mean of the slots that each class and the more urgent ones needed lately,
   /// in 1/1000.
   std::array<int64_t, kUrgencyClasses> demand_permille_{};
+  std::array<int64_t, kUrgencyClasses> aim_ms_{};  ///< Mean aim of each class.
   int solo_running_ = 0;
   uint64_t refusals_ = 0;
   RunTimes run_times_;
--- a/tests/slot_gate_test.cc
+++ b/tests/slot_gate_test.cc
@@ -410,6 +410,30 @@
   CHECK(shortage.reads_served > 0);
 }
 
+/// The load: urgent work was slow for a while and filled every slot. Short work
+/// of the next class takes the slots that are free again at once; long work
+/// leaves them to what urgent work lately needed.
+TEST(slot_gate, afterUrgentOverload_shortWorkTakesFreeSlots_longWorkDoesNot) {
+  TimeMs now(0);
+  for (uint64_t id = 1; id <= kSlots; ++id)
+    gate_.Offer(now, WorkOf(id, 0, "pay", 250, now + 9000), &verdicts_);
+  for (int tick = 0; tick < 100; ++tick) {
+    now = now + 20;
+    gate_.Tick(now, &verdicts_);
+  }
+  for (uint64_t id = 1; id <= kSlots; ++id)
+    gate_.Finish(now, id, 84, &verdicts_);
+  gate_.Offer(now, WorkOf(10, 1, "call", 120, now + 400), &verdicts_);
+  CHECK(Started(10));
+  gate_.Offer(now, WorkOf(20, 2, "read", 2500, now + 8000), &verdicts_);
+  CHECK(VerdictOf(20) == nullptr);
+  for (int tick = 0; tick < 100; ++tick) {
+    now = now + 20;
+    gate_.Tick(now, &verdicts_);
+  }
+  CHECK(Started(20));
+}
+
 TEST(slot_gate, randomSequences_slotsAndBooksHold) {
   Random random(11);
   for (int round = 0; round < 50; ++round) {
