--- /dev/null
+++ b/standins/mesh_store.cc
@@ -0,0 +1,144 @@
+#include "standins/mesh_store.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+#include "platform/wire_names.h"
+
+namespace banyanloft {
+namespace {
+
+namespace wire = banyanloft::platform;
+
+constexpr int64_t kLateMs = 500;
+constexpr int kRefusedPermille = 500;
+
+HttpServerSettings SettingsOf(const Endpoint& listen) {
+  HttpServerSettings settings;
+  settings.listen = listen;
+  return settings;
+}
+
+void After(boost::asio::io_context& io, int64_t ms,
+           std::function<void()> then) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(io);
+  timer->expires_after(std::chrono::milliseconds(ms));
+  timer->async_wait(
+      [timer, then = std::move(then)](boost::system::error_code) { then(); });
+}
+
+}  // namespace
+
+MeshStore::MeshStore(boost::asio::io_context& io, const Endpoint& listen,
+                     uint64_t seed)
+    : io_(io), random_(seed), server_(io, SettingsOf(listen), this) {}
+
+void MeshStore::Put(const std::string& kind, const std::string& name,
+                    Json spec) {
+  Json& object = objects_[kind][name];
+  object = {{"metadata", {{"name", name}, {"revision", ++revision_}}},
+            {"spec", std::move(spec)}};
+  std::vector<Watch> waiting;
+  waiting.swap(watches_);
+  for (Watch& watch : waiting) {
+    if (watch.kind != kind) {
+      watches_.push_back(watch);
+      continue;
+    }
+    Answer(watch.request, 200,
+           {{"events", {{{"deleted", false}, {"object", object}}}},
+            {"current_rev", revision_}});
+  }
+}
+
+void MeshStore::OnRequest(uint64_t id, HttpRequest request) {
+  switch (fault_) {
+    case StoreFault::kDown:
+      return Answer(id, 503, Json::object());
+    case StoreFault::kRefusesSome:
+      if (random_.Permille(kRefusedPermille))
+        return Answer(id, 429, Json::object());
+      break;
+    case StoreFault::kLate:
+      return After(io_, kLateMs, [this, id, request] { Serve(id, request); });
+    case StoreFault::kNone:
+    case StoreFault::kLosesAnswers:
+      break;
+  }
+  Serve(id, request);
+}
+
+void MeshStore::Serve(uint64_t id, const HttpRequest& request) {
+  std::string path =
+      PathOf(request.target).substr(std::string(wire::path::kObjects).size());
+  std::string kind = path.substr(0, path.find('/'));
+  if (request.method != "GET") return Write(id, kind, request);
+  if (!QueryOf(request.target, "watch").empty())
+    return StartWatch(id, kind, request);
+  Json items = Json::array();
+  for (const auto& [name, object] : objects_[kind]) items.push_back(object);
+  Answer(id, 200,
+         {{"items", items}, {"more", false}, {"current_rev", revision_}});
+}
+
+void MeshStore::OnAbandoned(uint64_t id) {
+  watches_.erase(
+      std::remove_if(watches_.begin(), watches_.end(),
+                     [&](const Watch& w) { return w.request == id; }),
+      watches_.end());
+}
+
+HttpResponse MeshStore::OnRefused(ErrorKind) {
+  HttpResponse response;
+  response.status = 400;
+  return response;
+}
+
+void MeshStore::Write(uint64_t id, const std::string& kind,
+                      const HttpRequest& request) {
+  Json body = ParseJson(request.body);
+  std::string name = body["metadata"].value("name", "");
+  uint64_t expected = body["metadata"].value("revision", uint64_t{0});
+  auto found = objects_[kind].find(name);
+  bool exists = found != objects_[kind].end();
+  bool create = request.method == "POST";
+  uint64_t present =
+      exists ? found->second["metadata"]["revision"].get<uint64_t>() : 0;
+  if (create == exists || (!create && expected != present))
+    return Answer(id, 409, Json::object());
+  Put(kind, name, body["spec"]);
+  Answer(id, 200, objects_[kind][name]);
+}
+
+void MeshStore::StartWatch(uint64_t id, const std::string& kind,
+                           const HttpRequest& request) {
+  uint64_t after = std::stoull(QueryOf(request.target, "watch"));
+  if (after < oldest_) return Answer(id, 410, Json::object());
+  Json events = Json::array();
+  for (const auto& [name, object] : objects_[kind]) {
+    if (object["metadata"]["revision"].get<uint64_t>() > after)
+      events.push_back({{"deleted", false}, {"object", object}});
+  }
+  if (!events.empty())
+    return Answer(id, 200, {{"events", events}, {"current_rev", revision_}});
+  watches_.push_back({id, kind});
+  int64_t wait_ms = std::stoll(QueryOf(request.target, "wait_ms"));
+  After(io_, wait_ms, [this, id] {
+    size_t before = watches_.size();
+    OnAbandoned(id);
+    if (watches_.size() == before) return;
+    Answer(id, 200, {{"events", Json::array()}, {"current_rev", revision_}});
+  });
+}
+
+void MeshStore::Answer(uint64_t id, int status, const Json& body) {
+  if (fault_ == StoreFault::kLosesAnswers) return;
+  HttpResponse response;
+  response.status = status;
+  response.content_type = "application/json";
+  response.body = body.dump();
+  server_.Reply(id, std::move(response));
+}
+
+}  // namespace banyanloft
--- /dev/null
+++ b/standins/mesh_store.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "banyanloft/config/json.h"
+#include "banyanloft/core/random.h"
+#include "banyanloft/http/http_server.h"
+
+namespace banyanloft {
+
+/// What a store does wrong.
+enum class StoreFault : uint8_t {
+  kNone,
+  kDown,          ///< Answers 503 to every call.
+  kLosesAnswers,  ///< Does what it is told and answers nothing.
+  kLate,          ///< Answers after half a second.
+  kRefusesSome,   ///< Answers 429 to half of the calls.
+};
+
+/// Stand-in for the platform's store: objects by kind and name with one
+/// revision, and watches. One event loop.
+class MeshStore final : public HttpHandler {
+ public:
+  MeshStore(boost::asio::io_context& io, const Endpoint& listen, uint64_t seed);
+  Result<Endpoint> Start() { return server_.Start(); }
+
+  /// Puts an object as the operator does.
+  void Put(const std::string& kind, const std::string& name, Json spec);
+  void SetFault(StoreFault fault) { fault_ = fault; }
+  /// Forgets the history: watches from before get 410.
+  void Compact() { oldest_ = revision_; }
+
+  void OnRequest(uint64_t id, HttpRequest request) override;
+  void OnAbandoned(uint64_t id) override;
+  HttpResponse OnRefused(ErrorKind kind) override;
+
+ private:
+  struct Watch {
+    uint64_t request;
+    std::string kind;
+  };
+
+  void Serve(uint64_t id, const HttpRequest& request);
+  void Write(uint64_t id, const std::string& kind, const HttpRequest& request);
+  void StartWatch(uint64_t id, const std::string& kind,
+                  const HttpRequest& request);
+  void Answer(uint64_t id, int status, const Json& body);
+
+  boost::asio::io_context& io_;
+  Random random_;
+  HttpServer server_;
+  StoreFault fault_ = StoreFault::kNone;
+  uint64_t revision_ = 0;
+  uint64_t oldest_ = 0;  ///< Watches must begin here or later.
+  std::map<std::string, std::map<std::string, Json>> objects_;
+  std::vector<Watch> watches_;
+};
+
+}  // namespace banyanloft
