--- a/banyanloft/links/link_hub.cc
+++ b/banyanloft/links/link_hub.cc
@@ -205,7 +205,8 @@
   boost::system::error_code endpoint_error;
   uint16_t port = server_.get_local_endpoint(endpoint_error).port();
   Endpoint listening{settings_.listen.ip, port};
-  own_link_ = listening.Text();
+  own_link_ =
+      settings_.advertised.empty() ? listening.Text() : settings_.advertised;
   Housekeep();
   return listening;
 }
--- a/banyanloft/links/link_hub.h
+++ b/banyanloft/links/link_hub.h
@@ -14,7 +14,9 @@
 
 /// Settings of the links to peers.
 struct LinkSettings {
-  Endpoint listen;     ///< Port 0: any free one.
+  Endpoint listen;  ///< Port 0: any free one.
+  /// `ip:port` at which peers reach `listen`; empty: there itself.
+  std::string advertised;
   std::string secret;  ///< The fleet's shared secret.
   uint64_t seed = 1;   ///< Seed of the challenges.
   int64_t handshake_timeout_ms =
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -168,6 +168,7 @@
   };
   LinkSettings link;
   link.listen = settings_.link;
+  link.advertised = settings_.advertised_link;
   link.secret = settings_.fleet;
   link.seed = settings_.node.seed;
   link.handshake_timeout_ms = 500;
@@ -208,7 +209,9 @@
   store.max_connections = kStoreConnections;
   store_ = std::make_unique<HttpClient>(io_, store);
 
-  settings_.node.link_address = settings_.link.Text();
+  settings_.node.link_address = settings_.advertised_link.empty()
+                                    ? settings_.link.Text()
+                                    : settings_.advertised_link;
   settings_.node.gossip_address = settings_.gossip.Text();
   MemberId id = Random(settings_.node.seed).Bits() | 1;
   node_ =
--- a/banyanloft/mesh/sidecar.h
+++ b/banyanloft/mesh/sidecar.h
@@ -14,12 +14,14 @@
 
 /// Settings of a forwarding daemon.
 struct SidecarSettings {
-  std::string name;   ///< Of the instance, for logs.
-  Endpoint clients;   ///< Takes requests of clients and the backend server.
-  Endpoint ready;     ///< Answers whether it is ready.
-  Endpoint control;   ///< Takes the backend server's reports.
-  Endpoint metrics;   ///< Serves metrics; port 0: not served.
-  Endpoint link;      ///< Takes links of peers (TCP).
+  std::string name;  ///< Of the instance, for logs.
+  Endpoint clients;  ///< Takes requests of clients and the backend server.
+  Endpoint ready;    ///< Answers whether it is ready.
+  Endpoint control;  ///< Takes the backend server's reports.
+  Endpoint metrics;  ///< Serves metrics; port 0: not served.
+  Endpoint link;     ///< Takes links of peers (TCP).
+  /// `ip:port` at which peers reach `link`; empty: there itself.
+  std::string advertised_link;
   Endpoint gossip;    ///< Takes datagrams of peers (UDP).
   Endpoint backend;   ///< The backend server beside this daemon.
   Endpoint store;     ///< The platform's store.
--- a/standins/mesh_backend.h
+++ b/standins/mesh_backend.h
@@ -46,6 +46,7 @@
 
   Result<Endpoint> Start();
   void Drain() { draining_ = true; }
+  bool Draining() const { return draining_; }
   const MeshBackendSettings& Settings() const { return settings_; }
   /// Requests that came later than allowed after an acknowledged drain.
   int LateArrivals() const { return late_arrivals_; }
