A planned stop takes back what waits and refuses it

Change: new attempts of a stopping daemon may wait only as long as it lives; at 4.3 s it asks targets to give back what has not begun, and refuses it as not run; what runs is awaited. Its own target's queue is given back at the same time.

--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -232,7 +232,7 @@
 }
 
 Json Encode(const CancelForward& m) {
-  return Tagged(MessageTag::kCancelForward, Json::array({m.attempt}));
+  return Tagged(MessageTag::kCancelForward, Json::array({m.attempt, m.give_back}));
 }
 Json Encode(const DocumentRequest& m) {
   return Tagged(MessageTag::kDocumentRequest, Json::array({m.have_version}));
@@ -274,8 +274,10 @@
       return ReadForwardRequest(r);
     case MessageTag::kForwardAnswer:
       return ReadForwardAnswer(r);
-    case MessageTag::kCancelForward:
-      return CancelForward{r->Unsigned()};
+    case MessageTag::kCancelForward: {
+      uint64_t attempt = r->Unsigned();
+      return CancelForward{attempt, r->Bool()};
+    }
     case MessageTag::kDocumentRequest:
       return DocumentRequest{r->Unsigned()};
     case MessageTag::kDocumentReply: {
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -242,11 +242,15 @@
 }
 
 void BackendRunner::OnCancel(TimeMs now, const std::string& from_link,
-                             uint64_t attempt, Actions* actions) {
-  auto found = work_by_origin_.find(ForwardOrigin{from_link, attempt});
+                             const CancelForward& cancel, Actions* actions) {
+  auto found = work_by_origin_.find(ForwardOrigin{from_link, cancel.attempt});
   if (found == work_by_origin_.end()) return;
   uint64_t id = found->second;
   Work& work = works_.at(id);
+  if (cancel.give_back) {
+    if (work.running || !gate_.Withdraw(id)) return;
+    return Refuse(now, id, ErrorKind::kDraining, 0, 0, actions);
+  }
   counters_.Add("runs_cancelled_total");
   work_by_origin_.erase(found);
   work.orphan = true;
@@ -257,7 +261,12 @@
   }
   // What must not run twice is not cut off halfway: it ends as it would have.
   if (work.request.idempotent) actions->push_back(CancelRunOnBackend{id});
-  (void)now;
+}
+
+void BackendRunner::GiveBackWaiting(TimeMs now, Actions* actions) {
+  SlotGate::Verdicts verdicts;
+  gate_.RefuseAll(ErrorKind::kDraining, &verdicts);
+  Carry(now, verdicts, actions);
 }
 
 void BackendRunner::OnPeerLost(TimeMs now, const std::string& link,
@@ -266,7 +275,8 @@
   for (auto it = work_by_origin_.lower_bound(ForwardOrigin{link, 0});
        it != work_by_origin_.end() && it->first.link == link; ++it)
     attempts.push_back(it->first.attempt);
-  for (uint64_t attempt : attempts) OnCancel(now, link, attempt, actions);
+  for (uint64_t attempt : attempts)
+    OnCancel(now, link, CancelForward{attempt}, actions);
 }
 
 void BackendRunner::OnReport(TimeMs now, const InstanceReport& report,
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -108,8 +108,10 @@
   void OnForward(TimeMs now, const std::string& from_link,
                  ForwardRequest request, Actions* actions);
   /// An attempt is withdrawn.
-  void OnCancel(TimeMs now, const std::string& from_link, uint64_t attempt,
-                Actions* actions);
+  void OnCancel(TimeMs now, const std::string& from_link,
+                const CancelForward& cancel, Actions* actions);
+  /// This process ends soon: refuses all work that waits.
+  void GiveBackWaiting(TimeMs now, Actions* actions);
   /// The link to a peer was lost: nobody waits for its answers any more.
   void OnPeerLost(TimeMs now, const std::string& link, Actions* actions);
   /// The backend server reported. True if the report was understood.
--- a/banyanloft/mesh/forwarder.cc
+++ b/banyanloft/mesh/forwarder.cc
@@ -69,6 +69,8 @@
   query.route = route.id;
   query.urgency = UrgencyOf(route.priority);
   query.aim_left_ms = pending.arrived + route.aim_ms - now;
+  if (stop_at_)
+    query.aim_left_ms = std::min(query.aim_left_ms, *stop_at_ - now);
   std::optional<TargetChoice> choice;
   if (!candidates.empty())
     choice = board_.Choose(now, candidates, query, pending.excluded);
@@ -209,7 +211,7 @@
   }
   counters_.Add("forward_refused_total", std::string(NameOf(error)));
   if (!pending.open.empty()) return;
-  bool again = OthersMayAccept(error) &&
+  bool again = !giving_back_ && OthersMayAccept(error) &&
                pending.refusals < settings_.max_refusals &&
                now < pending.deadline;
   // What reached a backend server counts as one of the attempts allowed.
@@ -237,7 +239,7 @@
 /// `share_permille` of the budget.
 bool Forwarder::MayRepeat(TimeMs now, const Pending& pending,
                           const char* reason, int64_t share_permille) {
-  bool may = pending.route->idempotent &&
+  bool may = !giving_back_ && pending.route->idempotent &&
              pending.arrivals < pending.route->max_attempts &&
              now + settings_.attempt_min_ms < pending.deadline;
   if (!may) return false;
@@ -330,6 +332,15 @@
   actions->push_back(AnswerClient{id, std::move(answer)});
 }
 
+void Forwarder::GiveBackWaiting(Actions* actions) {
+  giving_back_ = true;
+  for (const auto& [id, pending] : requests_) {
+    for (const Attempt& attempt : pending.open)
+      actions->push_back(
+          SendCancelForward{attempt.target, CancelForward{attempt.id, true}});
+  }
+}
+
 void Forwarder::OnAbandoned(TimeMs now, uint64_t id, Actions* actions) {
   auto it = requests_.find(id);
   if (it == requests_.end()) return;
--- a/banyanloft/mesh/forwarder.h
+++ b/banyanloft/mesh/forwarder.h
@@ -100,6 +100,13 @@
   void OnNotSent(TimeMs now, uint64_t attempt, Actions* actions);
   /// The link to a member was lost with attempts under way.
   void OnTargetLost(TimeMs now, MemberId target, Actions* actions);
+  /// A planned stop that ends at `end`: from now on nothing is sent that would
+  /// wait beyond.
+  void BeginStop(TimeMs end) { stop_at_ = end; }
+  /// Asks for every attempt that waits at a target to be given back. Requests
+  /// that come back so are refused: this process ends before another could
+  /// serve them.
+  void GiveBackWaiting(Actions* actions);
   /// A member shows no sign; nothing more is sent to it for now.
   void OnTargetSilent(TimeMs now, MemberId target) {
     board_.Avoid(now, target);
@@ -162,6 +169,8 @@
   std::map<uint64_t, Pending> requests_;
   std::unordered_map<uint64_t, uint64_t> request_by_attempt_;
   uint64_t next_attempt_;
+  std::optional<TimeMs> stop_at_;  ///< End of a planned stop.
+  bool giving_back_ = false;
   Counters counters_;
   Histograms histograms_;
 };
--- a/banyanloft/mesh/mesh_message.h
+++ b/banyanloft/mesh/mesh_message.h
@@ -81,6 +81,9 @@
 /// Withdraws an attempt.
 struct CancelForward {
   uint64_t attempt = 0;
+  /// Only if it waits: it is then refused, so that the sender knows that it has
+  /// not run. Otherwise nobody waits for its answer any more.
+  bool give_back = false;
 };
 
 /// Asks a peer for its configuration if it is newer than `have_version`.
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -45,6 +45,7 @@
 constexpr int64_t kDrainRunPermille = 350;
 constexpr int64_t kDrainMinPermille = 480;
 constexpr int64_t kDrainAcceptPermille = 520;
+constexpr int64_t kDrainGiveBackPermille = 820;
 
 }  // namespace
 
@@ -55,6 +56,8 @@
   drain_min_ms = std::min(drain_min_ms, max_ms * kDrainMinPermille / kPermille);
   drain_accept_ms =
       std::min(drain_accept_ms, max_ms * kDrainAcceptPermille / kPermille);
+  drain_give_back_ms =
+      std::min(drain_give_back_ms, max_ms * kDrainGiveBackPermille / kPermille);
 }
 
 MeshNode::MeshNode(const MeshNodeSettings& settings, MemberId id, TimeMs now,
@@ -105,7 +108,7 @@
   } else if (auto* answer = std::get_if<ForwardAnswer>(&message)) {
     forwarder_.OnAnswer(now, std::move(*answer), &requests);
   } else if (auto* cancel = std::get_if<CancelForward>(&message)) {
-    runner_.OnCancel(now, link, cancel->attempt, &runs);
+    runner_.OnCancel(now, link, *cancel, &runs);
   } else if (auto* ask = std::get_if<DocumentRequest>(&message)) {
     actions->push_back(
         SendPeer{link, kFirstRank, config_.OnDocumentRequest(*ask)});
@@ -217,6 +220,7 @@
   if (draining_) return;
   draining_ = true;
   drain_began_ = now;
+  forwarder_.BeginStop(now + settings_.drain_max_ms);
   actions->push_back(
       LogRecord{LogLevel::kInfo,
                 "drain_began",
@@ -276,9 +280,22 @@
   if (draining_ && !exit_sent_) TickDrain(now, actions);
 }
 
+void MeshNode::GiveBackWaiting(TimeMs now, Actions* actions) {
+  BackendRunner::Actions runs;
+  runner_.GiveBackWaiting(now, &runs);
+  CarryRunner(now, std::move(runs), actions);
+  Forwarder::Actions requests;
+  forwarder_.GiveBackWaiting(&requests);
+  CarryForwarder(now, std::move(requests), actions);
+}
+
 void MeshNode::TickDrain(TimeMs now, Actions* actions) {
   UpdateStanding(now);
   int64_t drained_ms = now - drain_began_;
+  if (!given_back_ && drained_ms >= settings_.drain_give_back_ms) {
+    given_back_ = true;
+    GiveBackWaiting(now, actions);
+  }
   bool idle = forwarder_.InHand() + runner_.InHand() == 0;
   bool finished = idle && drained_ms >= settings_.drain_min_ms;
   if (!finished && drained_ms < settings_.drain_max_ms) return;
@@ -368,7 +385,7 @@
         continue;
       }
       BackendRunner::Actions runs;
-      runner_.OnCancel(now, "", cancel->cancel.attempt, &runs);
+      runner_.OnCancel(now, "", cancel->cancel, &runs);
       CarryRunner(now, std::move(runs), actions);
     } else if (auto* answer = std::get_if<AnswerClient>(&action)) {
       actions->push_back(std::move(*answer));
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -38,6 +38,9 @@
   /// ms: a service may have few others. What is then started ends, but for a
   /// few, before drain_min_ms, so that the stop takes no longer.
   int64_t drain_run_ms = 1800;
+  /// From here on a planned stop takes back what waits for a slot, here and at
+  /// other targets, and refuses it, in ms: it might not end in time.
+  int64_t drain_give_back_ms = 4300;
   int64_t drain_max_ms = 5200;     ///< End of a planned stop, in ms.
   int64_t rumour_repeat_ms = 200;  ///< A new version is told twice, in ms.
   MembershipSettings membership;
@@ -121,6 +124,7 @@
   void OnRendezvousRead(TimeMs now, const PlatformReply& reply,
                         Actions* actions);
   void TickDrain(TimeMs now, Actions* actions);
+  void GiveBackWaiting(TimeMs now, Actions* actions);
   bool Watching(TimeMs now) const;
   uint64_t CallStore(PlatformCall call, Actions* actions);
   std::string LinkOf(MemberId id) const;
@@ -136,6 +140,7 @@
   BackendRunner runner_;
   bool draining_ = false;
   bool exit_sent_ = false;
+  bool given_back_ = false;
   TimeMs drain_began_;
   TimeMs heard_at_;  ///< Of the last datagram.
   uint64_t next_store_call_ = 1;
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -107,6 +107,34 @@
   LONGS_EQUAL(before, actions_.size());
 }
 
+/// A planned stop: what waits at a target is taken back and refused, what runs
+/// is awaited.
+TEST(forwarder, plannedStop_requestThatWaits_isRefusedUnrun) {
+  Request(TimeMs(0), "/once/1");
+  forwarder_->GiveBackWaiting(&actions_);
+  LONGS_EQUAL(1, Cancels());
+  CHECK(Answered() == nullptr);
+  forwarder_->OnAnswer(TimeMs(5), RefusalTo(0, ErrorKind::kDraining),
+                       &actions_);
+  CHECK(Sent(1) == nullptr);
+  CHECK(Answered() != nullptr);
+  CHECK(Answered()->run_state == RunState::kNotRun);
+}
+
+TEST(forwarder, plannedStop_requestThatRuns_isAnswered) {
+  Request(TimeMs(0), "/once/1");
+  forwarder_->GiveBackWaiting(&actions_);
+  forwarder_->OnAnswer(TimeMs(50), AnswerTo(0), &actions_);
+  CHECK(Answered() != nullptr);
+  CHECK(!Answered()->error);
+}
+
+TEST(forwarder, plannedStop_newAttempts_doNotWaitBeyondIt) {
+  forwarder_->BeginStop(TimeMs(150));
+  Request(TimeMs(0), "/once/1");
+  CHECK(Sent(0)->request.aim_left_ms <= 150);
+}
+
 TEST(forwarder, request_carriesTheCallerAndTheTimeLeft) {
   Request(TimeMs(0), "/once/1", 500);
   STRCMP_EQUAL("caller", Sent(0)->request.caller.c_str());
