Count the time that input waited unread on a process without processor time

What is read then is that old: clients' and attempts' times are shortened by it, and a run is started only after all input that is there has been read, so that a withdrawal right behind its request still stops it; unsafe runs too are stopped while nothing of them has been sent.

--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -260,7 +260,7 @@
     return;
   }
   // What must not run twice is not cut off halfway: it ends as it would have.
-  if (work.request.idempotent) actions->push_back(CancelRunOnBackend{id});
+  actions->push_back(CancelRunOnBackend{id, !work.request.idempotent});
 }
 
 void BackendRunner::GiveBackWaiting(TimeMs now, Actions* actions) {
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -56,6 +56,8 @@
 /// Cuts off a run.
 struct CancelRunOnBackend {
   uint64_t run = 0;
+  /// Only if nothing of it has been sent: what has begun goes on.
+  bool unless_begun = false;
 };
 /// Asks the backend server whether it is there and who it is.
 struct ProbeInstance {};
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 
+#include "banyanloft/core/loop_lag.h"
 #include "banyanloft/core/time.h"
 #include "banyanloft/daemon/metrics_page.h"
 #include "banyanloft/http/http_client.h"
@@ -58,7 +59,8 @@
       : settings_(std::move(settings)),
         protocol_(protocol),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
-        tick_(io_) {}
+        tick_(io_),
+        lag_(clock_.Now(), settings_.tick_ms) {}
 
   Result<bool> Start();
   void Run(std::function<void()> reload);
@@ -122,7 +124,10 @@
 
   void Decide(const std::function<void(TimeMs, MeshNode::Actions*)>& step);
   void Carry(MeshNodeAction action);
+  void Start(StartRun start);
+  void CancelRun(const CancelRunOnBackend& cancel);
   void RunOnBackend(StartRun start);
+  void TakeResult(RunResult result);
   void ProbeBackend();
   void CallStore(PlatformCall call);
   void NoticePause(TimeMs now);
@@ -149,6 +154,8 @@
   std::unique_ptr<HttpClient> backend_;
   std::unique_ptr<HttpClient> store_;
   RouteTablePtr applied_;
+  LoopLag lag_;
+  std::map<uint64_t, StartRun> held_starts_;  ///< By run.
   int64_t suspended_ms_ = 0;
   uint64_t next_probe_ = 1;
   uint64_t refused_inputs_ = 0;
@@ -256,6 +263,7 @@
   tick_.expires_after(std::chrono::milliseconds(settings_.tick_ms));
   tick_.async_wait([this](boost::system::error_code error) {
     if (error) return;
+    lag_.OnTick(clock_.Now());
     Decide([this](TimeMs now, MeshNode::Actions* actions) {
       node_->Tick(now, actions);
     });
@@ -310,9 +318,9 @@
   } else if (auto* call = std::get_if<PlatformCall>(&action)) {
     CallStore(std::move(*call));
   } else if (auto* start = std::get_if<StartRun>(&action)) {
-    RunOnBackend(std::move(*start));
+    Start(std::move(*start));
   } else if (auto* cancel = std::get_if<CancelRunOnBackend>(&action)) {
-    backend_->Cancel(cancel->run);
+    CancelRun(*cancel);
   } else if (std::holds_alternative<ProbeInstance>(action)) {
     ProbeBackend();
   } else if (auto* record = std::get_if<LogRecord>(&action)) {
@@ -330,8 +338,12 @@
     Log(LogLevel::kWarning, "request_malformed", {{"detail", error->detail}});
     return client_server_->Reply(id, Refusal(error->kind));
   }
+  MeshRequest& client = *ValueOf(read);
+  if (client.wait_ms > 0)
+    client.wait_ms =
+        std::max<int64_t>(1, client.wait_ms - lag_.LagMs(clock_.Now()));
   Decide([&](TimeMs now, MeshNode::Actions* actions) {
-    node_->OnRequest(now, id, std::move(*ValueOf(read)), actions);
+    node_->OnRequest(now, id, std::move(client), actions);
   });
 }
 
@@ -403,6 +415,12 @@
 
 void Sidecar::Impl::OnLinkMessage(const std::string& link,
                                   PeerMessage message) {
+  // Its times were right when it was sent.
+  if (auto* forward = std::get_if<ForwardRequest>(&message)) {
+    int64_t lag_ms = lag_.LagMs(clock_.Now());
+    forward->remaining_ms -= lag_ms;
+    forward->aim_left_ms -= lag_ms;
+  }
   Decide([&](TimeMs now, MeshNode::Actions* actions) {
     node_->OnPeerMessage(now, link, std::move(message), actions);
   });
@@ -426,6 +444,41 @@
   });
 }
 
+/// Input that waited unread while this process had no processor time may hold
+/// the withdrawal of a request right behind it: all of it is read first.
+void Sidecar::Impl::Start(StartRun start) {
+  if (lag_.LagMs(clock_.Now()) == 0) return RunOnBackend(std::move(start));
+  uint64_t run = start.run;
+  held_starts_.emplace(run, std::move(start));
+  asio::post(io_, [this, run] {
+    auto it = held_starts_.find(run);
+    if (it == held_starts_.end()) return;
+    StartRun held = std::move(it->second);
+    held_starts_.erase(it);
+    RunOnBackend(std::move(held));
+  });
+}
+
+void Sidecar::Impl::CancelRun(const CancelRunOnBackend& cancel) {
+  if (held_starts_.erase(cancel.run) > 0) {
+    RunResult result;
+    result.run = cancel.run;
+    result.type = RunResult::Type::kCancelled;
+    return TakeResult(std::move(result));
+  }
+  if (!cancel.unless_begun) backend_->Cancel(cancel.run);
+}
+
+void Sidecar::Impl::TakeResult(RunResult result) {
+  // May be told while the node is being called: it must not be entered again.
+  auto shared = std::make_shared<RunResult>(std::move(result));
+  asio::post(io_, [this, shared] {
+    Decide([&](TimeMs now, MeshNode::Actions* actions) {
+      node_->OnResult(now, std::move(*shared), actions);
+    });
+  });
+}
+
 void Sidecar::Impl::RunOnBackend(StartRun start) {
   uint64_t run = start.run;
   std::string request_id = start.request.request_id;
@@ -453,12 +506,7 @@
           }
         }
         result.run = run;
-        auto shared = std::make_shared<RunResult>(std::move(result));
-        asio::post(io_, [this, shared] {
-          Decide([&](TimeMs now, MeshNode::Actions* actions) {
-            node_->OnResult(now, std::move(*shared), actions);
-          });
-        });
+        TakeResult(std::move(result));
       },
       [this, request_id](const HttpResponse& answer) {
         return protocol_->AnswerBelongs(answer, request_id);
