Judge a hanging backend server by the age of its running work

Change: without a sample, a route's run time is at least the mean age of what runs now. The test (a target that hangs) failed before: new work waited.

--- a/banyanloft/mesh/slot_gate.cc
+++ b/banyanloft/mesh/slot_gate.cc
@@ -16,12 +16,27 @@
 
 void SlotGate::SetSlots(int slots) { settings_.slots = std::max(1, slots); }
 
+/// Mean age of the running work of a route, in ms.
+int64_t SlotGate::RunningAgeMs(TimeMs now, const std::string& route) const {
+  int64_t sum_ms = 0;
+  int64_t count = 0;
+  for (const auto& [id, work] : running_) {
+    if (work.route != route) continue;
+    sum_ms += now - work.started;
+    ++count;
+  }
+  return count == 0 ? 0 : sum_ms / count;
+}
+
+/// Without a sample, work takes at least as long as what runs has taken so far:
+/// a backend server that hangs brings no samples.
 int64_t SlotGate::CostMs(TimeMs now, const std::string& route,
                          int64_t aim_ms) const {
   int64_t mean_ms = run_times_.MeanMs(now, route);
   if (mean_ms >= 0) return mean_ms;
-  return std::max<int64_t>(0, aim_ms) * settings_.first_cost_permille /
-         kPermille;
+  int64_t guess_ms =
+      std::max<int64_t>(0, aim_ms) * settings_.first_cost_permille / kPermille;
+  return std::max(guess_ms, RunningAgeMs(now, route));
 }
 
 int SlotGate::Waiting() const {
@@ -252,7 +267,7 @@
   ++running_by_class_[started];
   solo_running_ += work.solo ? 1 : 0;
   running_.emplace(work.id, RunningWork{work.urgency, work.aim_left_ms,
-                                        work.route, work.solo});
+                                        work.route, work.solo, now});
   verdicts->push_back(
       {SlotVerdict::Type::kStart, work.id, ErrorKind::kOverloaded, 0, 0});
 }
--- a/banyanloft/mesh/slot_gate.h
+++ b/banyanloft/mesh/slot_gate.h
@@ -111,7 +111,9 @@
     int64_t aim_ms;
     std::string route;
     bool solo;
+    TimeMs started;
   };
+  int64_t RunningAgeMs(TimeMs now, const std::string& route) const;
   int64_t CostMs(TimeMs now, const std::string& route, int64_t aim_ms) const;
   int64_t CostMs(TimeMs now, const SlotWork& work) const {
     return CostMs(now, work.route, work.aim_left_ms);
--- a/tests/slot_gate_test.cc
+++ b/tests/slot_gate_test.cc
@@ -436,6 +436,17 @@
   CHECK(Started(21));
 }
 
+/// The load: a backend server that takes requests and answers none. What comes
+/// next is refused at once, for another target, and does not wait in vain.
+TEST(slot_gate, hangingBackendServer_newWorkIsRefusedAtOnce) {
+  for (uint64_t id = 1; id <= kSlots; ++id)
+    gate_.Offer(TimeMs(0), WorkOf(id, 1, "r", 400, TimeMs(1200)), &verdicts_);
+  gate_.Offer(TimeMs(10), WorkOf(9, 1, "r", 400, TimeMs(1200)), &verdicts_);
+  CHECK(VerdictOf(9) == nullptr);
+  gate_.Offer(TimeMs(700), WorkOf(10, 1, "r", 400, TimeMs(1900)), &verdicts_);
+  CHECK(Refused(10));
+}
+
 TEST(slot_gate, randomSequences_slotsAndBooksHold) {
   Random random(11);
   for (int round = 0; round < 50; ++round) {
