--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -222,7 +222,10 @@
   // Before the slot is given on: what waits would meet the same end.
   bool lost = result.type == RunResult::Type::kNotSent ||
               result.type == RunResult::Type::kMisplaced;
-  if (lost) OnDown(now, actions);
+  if (lost) {
+    LoseInstance(now, actions);
+    Probe(now, actions);
+  }
   SlotGate::Verdicts verdicts;
   gate_.Finish(now, result.run, run_ms, &verdicts);
   Carry(now, verdicts, actions);
@@ -230,15 +233,13 @@
 
 /// Requests no longer reach the instance that was there. What waits may be
 /// answered elsewhere in time.
-void BackendRunner::OnDown(TimeMs now, Actions* actions) {
-  if (registry_.State() == InstanceState::kReady) {
-    registry_.OnLost();
-    LogInstance("instance_lost", actions);
-    SlotGate::Verdicts verdicts;
-    gate_.RefuseAll(ErrorKind::kBackendUnavailable, &verdicts);
-    Carry(now, verdicts, actions);
-  }
-  Probe(now, actions);
+void BackendRunner::LoseInstance(TimeMs now, Actions* actions) {
+  if (registry_.State() != InstanceState::kReady) return;
+  registry_.OnLost();
+  LogInstance("instance_lost", actions);
+  SlotGate::Verdicts verdicts;
+  gate_.RefuseAll(ErrorKind::kBackendUnavailable, &verdicts);
+  Carry(now, verdicts, actions);
 }
 
 void BackendRunner::OnCancel(TimeMs now, const std::string& from_link,
@@ -341,14 +342,7 @@
   probing_ = false;
   if (!up) {
     OnCrash(now, actions);
-    if (registry_.State() == InstanceState::kReady) {
-      registry_.OnLost();
-      LogInstance("instance_lost", actions);
-      SlotGate::Verdicts verdicts;
-      gate_.RefuseAll(ErrorKind::kBackendUnavailable, &verdicts);
-      Carry(now, verdicts, actions);
-    }
-    return;
+    return LoseInstance(now, actions);
   }
   if (instance.empty()) return;
   bool other = !registry_.Last().id.empty() && registry_.Last().id != instance;
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -164,7 +164,7 @@
   void Answer(const Work& work, ForwardAnswer answer, Actions* actions);
   void Drop(TimeMs now, uint64_t id, Actions* actions);
   void OnChange(TimeMs now, InstanceRegistry::Change change, Actions* actions);
-  void OnDown(TimeMs now, Actions* actions);
+  void LoseInstance(TimeMs now, Actions* actions);
   void NoteBroken(TimeMs now, uint64_t fingerprint, Actions* actions);
   void OnCrash(TimeMs now, Actions* actions);
   void Probe(TimeMs now, Actions* actions);
