--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -232,7 +232,8 @@
 }
 
 Json Encode(const CancelForward& m) {
-  return Tagged(MessageTag::kCancelForward, Json::array({m.attempt, m.give_back}));
+  return Tagged(MessageTag::kCancelForward,
+                Json::array({m.attempt, m.give_back}));
 }
 Json Encode(const DocumentRequest& m) {
   return Tagged(MessageTag::kDocumentRequest, Json::array({m.have_version}));
