--- a/banyanloft/mesh/slot_gate.cc
+++ b/banyanloft/mesh/slot_gate.cc
@@ -216,7 +216,9 @@
   int64_t needed_permille =
       demand_permille_[urgency - 1] * settings_.reserve_permille / kPermille;
   int needed = static_cast<int>(needed_permille / kPermille);
-  return std::max(held, std::min(needed, settings_.slots * 3 / 4));
+  int most = static_cast<int>(settings_.slots * settings_.reserve_cap_permille /
+                              kPermille);
+  return std::max(held, std::min(needed, most));
 }
 
 /// Whether the free slots are kept for more urgent work than this.
--- a/banyanloft/mesh/slot_gate.h
+++ b/banyanloft/mesh/slot_gate.h
@@ -40,6 +40,9 @@
   /// that they lately needed: random arrivals need that much more at their
   /// peaks.
   int64_t reserve_permille = 1300;
+  /// Most slots kept free so, in 1/1000 of all: no class may be starved below a
+  /// quarter of the rest.
+  int64_t reserve_cap_permille = 750;
   /// Weight of one tick in the mean of needed slots, 1 / 50: with a tick each
   /// 20 ms it covers the last second.
   int64_t demand_ticks = 50;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -314,10 +314,11 @@
                                : "/register/") +
                  id;
   asked.body = idempotent ? "" : "pledge";
+  // A daemon without a configuration answers 503, so that the first routes are
+  // never unknown; new ones may be for a while.
   asked.must_exist =
       !new_route || (now >= changed_at_ + kConfigMs && InTouch(instance, now) &&
                      now >= store_disturbed_until_ + kStabilityMs);
-  // A daemon that knows no configuration yet says so; it never answers 404.
   HttpRequest request;
   request.method = idempotent ? "GET" : "POST";
   request.target = asked.target;
