One copy each: meeting place, store outcomes, stand-ins' configuration; the backend server's side apart

Cause: joining code for the rendezvous stood in node.cc and mesh_node.cc, the table from HTTP status to error in two store codecs, the sample configuration in soak and stand-in; holding a run back behind unread input stood in the event loop's driver without a test. Change: MeetingPlace, CallOutcomeOf, MeshConfiguration, BackendEdge (four tests on sockets, one that a withdrawn run never reaches the server). On the call path: histograms are looked up without copying names, an ended attempt is found once.

--- a/banyanloft/core/histograms.cc
+++ b/banyanloft/core/histograms.cc
@@ -4,14 +4,15 @@
 
 namespace banyanloft {
 
-void Histograms::Add(const std::string& name, const std::string& route,
-                     int urgency, int64_t ms) {
-  auto it = series_.find(Key(name, route, urgency));
+void Histograms::Add(std::string_view name, std::string_view route, int urgency,
+                     int64_t ms) {
+  auto it = series_.find(View(name, route, urgency));
   if (it == series_.end()) {
-    size_t& known = series_by_name_[name];
+    size_t& known = series_by_name_[std::string(name)];
     bool room = known < kMaxSeries;
     known += room ? 1 : 0;
-    it = series_.try_emplace(Key(name, room ? route : "other", urgency)).first;
+    Key key(name, room ? route : "other", urgency);
+    it = series_.try_emplace(std::move(key)).first;
   }
   Series& series = it->second;
   size_t bucket = static_cast<size_t>(
--- a/banyanloft/core/histograms.h
+++ b/banyanloft/core/histograms.h
@@ -3,8 +3,10 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <tuple>
 
 namespace banyanloft {
@@ -23,6 +25,15 @@
 
   /// Metric name, route and urgency.
   using Key = std::tuple<std::string, std::string, int>;
+  /// The same without copies, for a look at the call path.
+  using View = std::tuple<std::string_view, std::string_view, int>;
+  struct Less {
+    using is_transparent = void;
+    template <typename A, typename B>
+    bool operator()(const A& a, const B& b) const {
+      return View(a) < View(b);
+    }
+  };
   struct Series {
     /// Samples by bucket, the last one for those above all bounds.
     std::array<uint64_t, kBoundsMs.size() + 1> counts{};
@@ -31,14 +42,14 @@
   };
 
   /// Adds a sample, in ms.
-  void Add(const std::string& name, const std::string& route, int urgency,
+  void Add(std::string_view name, std::string_view route, int urgency,
            int64_t ms);
   /// All series, sorted.
-  const std::map<Key, Series>& All() const { return series_; }
+  const std::map<Key, Series, Less>& All() const { return series_; }
 
  private:
-  std::map<Key, Series> series_;
-  std::map<std::string, size_t> series_by_name_;
+  std::map<Key, Series, Less> series_;
+  std::map<std::string, size_t, std::less<>> series_by_name_;
 };
 
 }  // namespace banyanloft
--- a/banyanloft/daemon/node.cc
+++ b/banyanloft/daemon/node.cc
@@ -29,15 +29,6 @@
   return FastHash("stream", seed * 16 + static_cast<uint64_t>(stream));
 }
 
-MemberRecord SelfRecord(const NodeSettings& settings, MemberId id) {
-  MemberRecord self;
-  self.id = id;
-  self.zone = settings.zone;
-  self.link = settings.link_address;
-  self.gossip = settings.gossip_address;
-  return self;
-}
-
 DistributorSettings WithWindow(DistributorSettings settings,
                                int64_t window_ms) {
   settings.start_window_ms = window_ms;
@@ -65,14 +56,16 @@
       watch_from_(now +
                   WatchDelayMs(settings.start_window_ms,
                                SeedOf(settings.seed, SeedStream::kWatchDelay))),
-      membership_(settings.membership, SelfRecord(settings, id),
+      membership_(settings.membership,
+                  NewMember(id, settings.zone, settings.link_address,
+                            settings.gossip_address),
                   SeedOf(settings.seed, SeedStream::kMembership), now, this),
       distributor_(WithWindow(settings.distributor, settings.start_window_ms),
                    settings.zone,
                    SeedOf(settings.seed, SeedStream::kDistributor), now),
-      rendezvous_(WithWindow(settings.rendezvous, settings.start_window_ms),
-                  settings.zone, settings.gossip_address,
-                  SeedOf(settings.seed, SeedStream::kRendezvous), now),
+      meeting_place_(WithWindow(settings.rendezvous, settings.start_window_ms),
+                     settings.zone, settings.gossip_address,
+                     SeedOf(settings.seed, SeedStream::kRendezvous), now),
       zone_status_(settings.zone),
       dispatcher_(settings.dispatcher, settings.zone, settings.secret,
                   SeedOf(settings.seed, SeedStream::kDispatcher), this),
@@ -180,17 +173,11 @@
 
 void Node::OnPlatform(TimeMs now, const PlatformReply& reply,
                       Actions* actions) {
-  if (reply.id == rendezvous_read_) {
-    rendezvous_read_ = 0;
-    if (reply.error) return rendezvous_.OnFailure();
-    std::vector<Rendezvous::Entry> entries;
-    size_t prefix = RendezvousKey("").size();
-    for (const PlatformObject& object : reply.objects) {
-      entries.push_back(
-          {object.key.substr(prefix), object.revision, object.value});
-    }
-    membership_.Meet(rendezvous_.OnRead(entries));
-    return WriteRendezvous(Watching(now), actions);
+  if (meeting_place_.Awaits(reply)) {
+    std::optional<PlatformCall> write =
+        meeting_place_.OnReply(reply, Watching(now), &membership_);
+    if (write) CallPlatform(std::move(*write), actions);
+    return;
   }
   auto read = distributor_reads_.find(reply.id);
   if (read == distributor_reads_.end()) return;
@@ -324,19 +311,9 @@
                     membership_.AliveCount(), &changes);
   CarryDistributor(now, std::move(changes), actions);
 
-  if (rendezvous_read_ != 0 &&
-      now - rendezvous_read_at_ > settings_.rendezvous.timeout_ms) {
-    rendezvous_read_ = 0;
-    rendezvous_.OnFailure();
-  }
-  bool lonely = membership_.AliveCount() == 1;
-  if (rendezvous_read_ == 0 && rendezvous_.ReadDue(now, lonely, watching)) {
-    PlatformCall call;
-    call.type = PlatformCall::Type::kList;
-    call.key = RendezvousKey("");
-    rendezvous_read_ = CallPlatform(std::move(call), actions);
-    rendezvous_read_at_ = now;
-  }
+  std::optional<PlatformCall> read =
+      meeting_place_.Tick(now, membership_, watching);
+  if (read) meeting_place_.Await(now, CallPlatform(std::move(*read), actions));
   std::vector<MemberId> watchers =
       membership_.FirstOfZone(settings_.zone, settings_.watchers_per_zone);
   bool report_due = now >= next_report_ || watchers != reported_to_;
@@ -369,19 +346,6 @@
   CallPlatform(std::move(call), actions);
 }
 
-void Node::WriteRendezvous(bool watching, Actions* actions) {
-  ZoneAddresses zone = AddressesOfZone(membership_, settings_.zone);
-  std::optional<Rendezvous::Write> write =
-      rendezvous_.WriteDue(watching, zone.live, zone.dead);
-  if (!write) return;
-  PlatformCall call;
-  call.type = PlatformCall::Type::kWrite;
-  call.key = RendezvousKey(settings_.zone);
-  call.value = write->value;
-  call.expected_revision = write->expected_revision;
-  CallPlatform(std::move(call), actions);
-}
-
 uint64_t Node::CallPlatform(PlatformCall call, Actions* actions) {
   call.id = next_platform_call_++;
   uint64_t id = call.id;
--- a/banyanloft/daemon/node.h
+++ b/banyanloft/daemon/node.h
@@ -14,8 +14,8 @@
 #include "banyanloft/distribution/zone_status.h"
 #include "banyanloft/links/peer_message.h"
 #include "banyanloft/membership/fleet_choice.h"
+#include "banyanloft/membership/meeting_place.h"
 #include "banyanloft/membership/membership.h"
-#include "banyanloft/membership/rendezvous.h"
 #include "banyanloft/store/platform_message.h"
 
 namespace banyanloft {
@@ -119,7 +119,6 @@
   bool Watching(TimeMs now) const;
   void ReportInForce(Actions* actions);
   void TickPlatform(TimeMs now, bool watching, Actions* actions);
-  void WriteRendezvous(bool watching, Actions* actions);
   uint64_t CallPlatform(PlatformCall call, Actions* actions);
   std::string LinkOf(MemberId id) const;
 
@@ -129,7 +128,7 @@
   TimeMs watch_from_;
   Membership membership_;
   Distributor distributor_;
-  Rendezvous rendezvous_;
+  MeetingPlace meeting_place_;
   ZoneStatus zone_status_;
   CallDispatcher dispatcher_;
   TargetRunner runner_;
@@ -141,8 +140,6 @@
   TimeMs idle_since_;
   uint64_t next_platform_call_ = 1;
   std::map<uint64_t, uint64_t> distributor_reads_;
-  uint64_t rendezvous_read_ = 0;
-  TimeMs rendezvous_read_at_;
   TimeMs next_machine_tick_;
   TimeMs in_force_at_;
   TimeMs next_report_;
--- a/banyanloft/distribution/head.cc
+++ b/banyanloft/distribution/head.cc
@@ -61,9 +61,6 @@
 std::string BundleKey(const std::string& manifest_hash) {
   return "bundles/" + manifest_hash;
 }
-std::string RendezvousKey(const std::string& zone) {
-  return "rendezvous/" + zone;
-}
 std::string ZoneStatusKey(const std::string& zone) {
   return ZoneStatusPrefix() + zone;
 }
--- a/banyanloft/distribution/head.h
+++ b/banyanloft/distribution/head.h
@@ -44,7 +44,6 @@
 std::string PieceKey(const std::string& piece_hash);
 /// All pieces of a version in one object, for daemons that hold none yet.
 std::string BundleKey(const std::string& manifest_hash);
-std::string RendezvousKey(const std::string& zone);
 std::string ZoneStatusKey(const std::string& zone);
 /// Prefix of all zone status objects.
 std::string ZoneStatusPrefix();
--- a/banyanloft/membership/member.h
+++ b/banyanloft/membership/member.h
@@ -34,6 +34,18 @@
       0;  ///< With kSuspect: who found it silent, kept when passed on.
 };
 
+/// What a member says of itself before its backend server is known.
+inline MemberRecord NewMember(MemberId id, const std::string& zone,
+                              const std::string& link,
+                              const std::string& gossip) {
+  MemberRecord self;
+  self.id = id;
+  self.zone = zone;
+  self.link = link;
+  self.gossip = gossip;
+  return self;
+}
+
 /// True if `news` outranks `old`: gone is final, then the higher incarnation,
 /// then the worse health.
 bool Supersedes(const MemberRecord& news, const MemberRecord& old);
--- /dev/null
+++ b/banyanloft/mesh/backend_edge.cc
@@ -0,0 +1,101 @@
+#include "banyanloft/mesh/backend_edge.h"
+
+#include <boost/asio/post.hpp>
+#include <memory>
+#include <utility>
+
+namespace banyanloft {
+namespace {
+
+/// Probes have numbers of their own, beyond those of runs.
+constexpr uint64_t kProbeBit = uint64_t{1} << 63;
+
+RunResult::Type TypeOf(HttpFailure failure) {
+  switch (failure) {
+    case HttpFailure::kNotSent:
+      return RunResult::Type::kNotSent;
+    case HttpFailure::kTimeout:
+      return RunResult::Type::kTimeout;
+    case HttpFailure::kCancelled:
+      return RunResult::Type::kCancelled;
+    case HttpFailure::kBroken:
+    case HttpFailure::kTooLarge:
+      break;
+  }
+  return RunResult::Type::kBroken;
+}
+
+}  // namespace
+
+BackendEdge::BackendEdge(boost::asio::io_context& io,
+                         const HttpClientSettings& settings,
+                         int64_t probe_timeout_ms, const EdgeProtocol* protocol,
+                         BackendEdgeListener* listener)
+    : io_(io),
+      client_(io, settings),
+      probe_timeout_ms_(probe_timeout_ms),
+      protocol_(protocol),
+      listener_(listener) {}
+
+void BackendEdge::Start(StartRun start, bool after_input) {
+  if (!after_input) return Send(start);
+  uint64_t run = start.run;
+  held_.emplace(run, std::move(start));
+  boost::asio::post(io_, [this, run] {
+    auto it = held_.find(run);
+    if (it == held_.end()) return;
+    StartRun held = std::move(it->second);
+    held_.erase(it);
+    Send(held);
+  });
+}
+
+void BackendEdge::Send(const StartRun& start) {
+  uint64_t run = start.run;
+  auto ended = [this, run](HttpOutcome outcome) {
+    RunResult result;
+    if (outcome.failure) {
+      result.type = TypeOf(*outcome.failure);
+    } else {
+      result = protocol_->ReadRunAnswer(std::move(outcome.response));
+    }
+    result.run = run;
+    Tell(std::move(result));
+  };
+  auto belongs = [this,
+                  id = start.request.request_id](const HttpResponse& answer) {
+    return protocol_->AnswerBelongs(answer, id);
+  };
+  client_.Send(run, protocol_->WriteRun(start), start.remaining_ms, ended,
+               belongs);
+}
+
+void BackendEdge::Cancel(const CancelRunOnBackend& cancel) {
+  if (held_.erase(cancel.run) > 0) {
+    RunResult result;
+    result.run = cancel.run;
+    result.type = RunResult::Type::kCancelled;
+    return Tell(std::move(result));
+  }
+  if (!cancel.unless_begun) client_.Cancel(cancel.run);
+}
+
+void BackendEdge::Tell(RunResult result) {
+  auto shared = std::make_shared<RunResult>(std::move(result));
+  boost::asio::post(
+      io_, [this, shared] { listener_->OnRunEnded(std::move(*shared)); });
+}
+
+void BackendEdge::Probe() {
+  client_.Send(
+      kProbeBit | next_probe_++, protocol_->WriteProbe(""), probe_timeout_ms_,
+      [this](HttpOutcome outcome) {
+        bool up = !outcome.failure || *outcome.failure == HttpFailure::kTimeout;
+        std::string instance =
+            outcome.failure ? "" : protocol_->ReadProbe(outcome.response);
+        boost::asio::post(
+            io_, [this, up, instance] { listener_->OnProbed(up, instance); });
+      });
+}
+
+}  // namespace banyanloft
--- a/banyanloft/mesh/forwarder.cc
+++ b/banyanloft/mesh/forwarder.cc
@@ -114,16 +114,16 @@
   actions->push_back(SendForward{choice->id, std::move(forward)});
 }
 
-/// Closes the books on an attempt; returns its target.
-MemberId Forwarder::EndAttempt(Pending* pending, uint64_t attempt) {
+/// Closes the books on an attempt and returns it.
+Forwarder::Attempt Forwarder::EndAttempt(Pending* pending, uint64_t id) {
   auto it = std::find_if(pending->open.begin(), pending->open.end(),
-                         [&](const Attempt& a) { return a.id == attempt; });
+                         [&](const Attempt& a) { return a.id == id; });
   assert(it != pending->open.end());
-  MemberId target = it->target;
+  Attempt attempt = *it;
   pending->open.erase(it);
-  request_by_attempt_.erase(attempt);
-  board_.OnEnded(target);
-  return target;
+  request_by_attempt_.erase(id);
+  board_.OnEnded(attempt.target);
+  return attempt;
 }
 
 /// Withdraws all attempts under way.
@@ -138,15 +138,12 @@
 
 /// The time of an attempt that neither waiting nor running explains: both ways
 /// between the daemons, and their own work.
-void Forwarder::MeasureLink(TimeMs now, const Pending& pending,
+void Forwarder::MeasureLink(TimeMs now, const HttpRoute& route,
+                            const Attempt& attempt,
                             const ForwardAnswer& answer) {
-  auto it = std::find_if(
-      pending.open.begin(), pending.open.end(),
-      [&](const Attempt& attempt) { return attempt.id == answer.attempt; });
-  if (it == pending.open.end() || answer.run_ms < 0) return;
-  int64_t link_ms = (now - it->sent) - answer.run_ms - answer.waited_ms;
-  histograms_.Add("link_ms", pending.route->id,
-                  UrgencyOf(pending.route->priority),
+  if (answer.run_ms < 0) return;
+  int64_t link_ms = (now - attempt.sent) - answer.run_ms - answer.waited_ms;
+  histograms_.Add("link_ms", route.id, UrgencyOf(route.priority),
                   std::max<int64_t>(0, link_ms));
 }
 
@@ -158,8 +155,9 @@
   }
   uint64_t id = found->second;
   Pending& pending = requests_.at(id);
-  MeasureLink(now, pending, answer);
-  MemberId target = EndAttempt(&pending, answer.attempt);
+  Attempt attempt = EndAttempt(&pending, answer.attempt);
+  MemberId target = attempt.target;
+  MeasureLink(now, *pending.route, attempt, answer);
   pending.excluded.push_back(target);
   board_.OnReport(now, target, answer.load, pending.route->id, answer.run_ms);
 
@@ -362,7 +360,7 @@
   if (found == request_by_attempt_.end()) return;
   uint64_t id = found->second;
   Pending& pending = requests_.at(id);
-  MemberId target = EndAttempt(&pending, attempt);
+  MemberId target = EndAttempt(&pending, attempt).target;
   pending.excluded.push_back(target);
   board_.Avoid(now, target);
   OnRefused(now, id, ErrorKind::kTargetUnreachable, 0, false, actions);
--- a/banyanloft/mesh/forwarder.h
+++ b/banyanloft/mesh/forwarder.h
@@ -145,10 +145,10 @@
     int64_t retry_after_ms = 0;  ///< Shortest that a target asked for.
   };
 
-  void MeasureLink(TimeMs now, const Pending& pending,
+  void MeasureLink(TimeMs now, const HttpRoute& route, const Attempt& attempt,
                    const ForwardAnswer& answer);
   void StartAttempt(TimeMs now, uint64_t id, Actions* actions);
-  MemberId EndAttempt(Pending* pending, uint64_t attempt);
+  Attempt EndAttempt(Pending* pending, uint64_t id);
   void CancelOpen(Pending* pending, Actions* actions);
   void OnRefused(TimeMs now, uint64_t id, ErrorKind error,
                  int64_t retry_after_ms, bool arrived, Actions* actions);
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "banyanloft/core/digest.h"
-#include "banyanloft/distribution/head.h"
 #include "banyanloft/membership/fleet_choice.h"
 
 namespace banyanloft {
@@ -32,15 +31,6 @@
   return FastHash("mesh", seed * 16 + static_cast<uint64_t>(stream));
 }
 
-MemberRecord SelfRecord(const MeshNodeSettings& settings, MemberId id) {
-  MemberRecord self;
-  self.id = id;
-  self.zone = settings.zone;
-  self.link = settings.link_address;
-  self.gossip = settings.gossip_address;
-  return self;
-}
-
 /// Parts of a planned stop that its steps may take at most, in 1/1000.
 constexpr int64_t kDrainRunPermille = 350;
 constexpr int64_t kDrainMinPermille = 480;
@@ -68,10 +58,13 @@
       watch_from_(now +
                   WatchDelayMs(settings.start_window_ms,
                                SeedOf(settings.seed, SeedStream::kWatchDelay))),
-      membership_(settings.membership, SelfRecord(settings, id),
+      membership_(settings.membership,
+                  NewMember(id, settings.zone, settings.link_address,
+                            settings.gossip_address),
                   SeedOf(settings.seed, SeedStream::kMembership), now, nullptr),
-      rendezvous_(settings.rendezvous, settings.zone, settings.gossip_address,
-                  SeedOf(settings.seed, SeedStream::kRendezvous), now),
+      meeting_place_(settings.rendezvous, settings.zone,
+                     settings.gossip_address,
+                     SeedOf(settings.seed, SeedStream::kRendezvous), now),
       config_(settings.config, SeedOf(settings.seed, SeedStream::kConfig), now,
               reader),
       forwarder_(settings.forwarder,
@@ -170,8 +163,13 @@
 
 void MeshNode::OnStore(TimeMs now, const PlatformReply& reply,
                        Actions* actions) {
-  if (reply.id == rendezvous_call_)
-    return OnRendezvousRead(now, reply, actions);
+  if (meeting_place_.Awaits(reply)) {
+    if (reply.error) counters_.Add("rendezvous_failures_total");
+    std::optional<PlatformCall> write =
+        meeting_place_.OnReply(reply, Watching(now), &membership_);
+    if (write) CallStore(std::move(*write), actions);
+    return;
+  }
   if (reply.id != config_call_) return;
   config_call_ = 0;
   ConfigFollower::Actions changes;
@@ -271,7 +269,9 @@
     ConfigFollower::Actions changes;
     config_.Tick(now, watching, &changes);
     CarryConfig(now, std::move(changes), actions);
-    TickRendezvous(now, watching, actions);
+    std::optional<PlatformCall> read =
+        meeting_place_.Tick(now, membership_, watching);
+    if (read) meeting_place_.Await(now, CallStore(std::move(*read), actions));
   }
   if (repeat_rumour_ && now >= repeat_rumour_at_) {
     repeat_rumour_ = false;
@@ -314,49 +314,6 @@
                         settings_.watchers_per_zone);
 }
 
-void MeshNode::TickRendezvous(TimeMs now, bool watching, Actions* actions) {
-  bool timed_out = rendezvous_call_ != 0 && now - rendezvous_called_at_ >
-                                                settings_.rendezvous.timeout_ms;
-  if (timed_out) {
-    rendezvous_call_ = 0;
-    rendezvous_.OnFailure();
-  }
-  bool lonely = membership_.AliveCount() == 1;
-  if (rendezvous_call_ != 0 || !rendezvous_.ReadDue(now, lonely, watching))
-    return;
-  PlatformCall call;
-  call.type = PlatformCall::Type::kList;
-  call.key = RendezvousKey("");
-  rendezvous_call_ = CallStore(std::move(call), actions);
-  rendezvous_called_at_ = now;
-}
-
-void MeshNode::OnRendezvousRead(TimeMs now, const PlatformReply& reply,
-                                Actions* actions) {
-  rendezvous_call_ = 0;
-  if (reply.error) {
-    counters_.Add("rendezvous_failures_total");
-    return rendezvous_.OnFailure();
-  }
-  std::vector<Rendezvous::Entry> entries;
-  size_t prefix = RendezvousKey("").size();
-  for (const PlatformObject& object : reply.objects)
-    entries.push_back(
-        {object.key.substr(prefix), object.revision, object.value});
-  membership_.Meet(rendezvous_.OnRead(entries));
-
-  ZoneAddresses zone = AddressesOfZone(membership_, settings_.zone);
-  std::optional<Rendezvous::Write> write =
-      rendezvous_.WriteDue(Watching(now), zone.live, zone.dead);
-  if (!write) return;
-  PlatformCall call;
-  call.type = PlatformCall::Type::kWrite;
-  call.key = RendezvousKey(settings_.zone);
-  call.value = write->value;
-  call.expected_revision = write->expected_revision;
-  CallStore(std::move(call), actions);
-}
-
 uint64_t MeshNode::CallStore(PlatformCall call, Actions* actions) {
   call.id = next_store_call_++;
   uint64_t id = call.id;
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "banyanloft/daemon/node_actions.h"
+#include "banyanloft/membership/meeting_place.h"
 #include "banyanloft/membership/membership.h"
-#include "banyanloft/membership/rendezvous.h"
 #include "banyanloft/mesh/backend_runner.h"
 #include "banyanloft/mesh/config_follower.h"
 #include "banyanloft/mesh/forwarder.h"
@@ -120,9 +120,6 @@
   void CarryDatagrams(std::vector<DatagramOut> list, Actions* actions);
   void SendRumours(Actions* actions);
   void UpdateStanding(TimeMs now);
-  void TickRendezvous(TimeMs now, bool watching, Actions* actions);
-  void OnRendezvousRead(TimeMs now, const PlatformReply& reply,
-                        Actions* actions);
   void TickDrain(TimeMs now, Actions* actions);
   void GiveBackWaiting(TimeMs now, Actions* actions);
   bool Watching(TimeMs now) const;
@@ -134,7 +131,7 @@
   TimeMs start_;
   TimeMs watch_from_;
   Membership membership_;
-  Rendezvous rendezvous_;
+  MeetingPlace meeting_place_;
   ConfigFollower config_;
   Forwarder forwarder_;
   BackendRunner runner_;
@@ -145,8 +142,6 @@
   TimeMs heard_at_;  ///< Of the last datagram.
   uint64_t next_store_call_ = 1;
   uint64_t config_call_ = 0;
-  uint64_t rendezvous_call_ = 0;
-  TimeMs rendezvous_called_at_;
   TimeMs next_membership_tick_;
   TimeMs repeat_rumour_at_;
   bool repeat_rumour_ = false;
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -15,6 +15,7 @@
 #include "banyanloft/http/http_server.h"
 #include "banyanloft/links/gossip_socket.h"
 #include "banyanloft/links/link_hub.h"
+#include "banyanloft/mesh/backend_edge.h"
 
 namespace banyanloft {
 namespace {
@@ -53,7 +54,7 @@
 
 }  // namespace
 
-class Sidecar::Impl : private LinkListener {
+class Sidecar::Impl : private LinkListener, private BackendEdgeListener {
  public:
   Impl(SidecarSettings settings, const EdgeProtocol* protocol)
       : settings_(std::move(settings)),
@@ -124,11 +125,8 @@
 
   void Decide(const std::function<void(TimeMs, MeshNode::Actions*)>& step);
   void Carry(MeshNodeAction action);
-  void Start(StartRun start);
-  void CancelRun(const CancelRunOnBackend& cancel);
-  void RunOnBackend(StartRun start);
-  void TakeResult(RunResult result);
-  void ProbeBackend();
+  void OnRunEnded(RunResult result) override;
+  void OnProbed(bool up, const std::string& instance) override;
   void CallStore(PlatformCall call);
   void NoticePause(TimeMs now);
   void ApplyTable();
@@ -151,13 +149,11 @@
   std::unique_ptr<HttpServer> client_server_;
   std::unique_ptr<LinkHub> links_;
   std::unique_ptr<GossipSocket> gossip_;
-  std::unique_ptr<HttpClient> backend_;
+  std::unique_ptr<BackendEdge> backend_;
   std::unique_ptr<HttpClient> store_;
   RouteTablePtr applied_;
   LoopLag lag_;
-  std::map<uint64_t, StartRun> held_starts_;  ///< By run.
   int64_t suspended_ms_ = 0;
-  uint64_t next_probe_ = 1;
   uint64_t refused_inputs_ = 0;
 };
 
@@ -210,7 +206,9 @@
   backend.max_connections = settings_.max_backend_connections;
   backend.idle_timeout_ms = settings_.backend_idle_ms;
   backend.max_body_bytes = ClientLimits().max_body_bytes;
-  backend_ = std::make_unique<HttpClient>(io_, backend);
+  BackendEdgeListener* results = this;
+  backend_ = std::make_unique<BackendEdge>(
+      io_, backend, settings_.probe_timeout_ms, protocol_, results);
   HttpClientSettings store;
   store.server = settings_.store;
   store.max_connections = kStoreConnections;
@@ -318,11 +316,11 @@
   } else if (auto* call = std::get_if<PlatformCall>(&action)) {
     CallStore(std::move(*call));
   } else if (auto* start = std::get_if<StartRun>(&action)) {
-    Start(std::move(*start));
+    backend_->Start(std::move(*start), lag_.LagMs(clock_.Now()) > 0);
   } else if (auto* cancel = std::get_if<CancelRunOnBackend>(&action)) {
-    CancelRun(*cancel);
+    backend_->Cancel(*cancel);
   } else if (std::holds_alternative<ProbeInstance>(action)) {
-    ProbeBackend();
+    backend_->Probe();
   } else if (auto* record = std::get_if<LogRecord>(&action)) {
     Log(*record);
   } else {
@@ -444,92 +442,18 @@
   });
 }
 
-/// Input that waited unread while this process had no processor time may hold
-/// the withdrawal of a request right behind it: all of it is read first.
-void Sidecar::Impl::Start(StartRun start) {
-  if (lag_.LagMs(clock_.Now()) == 0) return RunOnBackend(std::move(start));
-  uint64_t run = start.run;
-  held_starts_.emplace(run, std::move(start));
-  asio::post(io_, [this, run] {
-    auto it = held_starts_.find(run);
-    if (it == held_starts_.end()) return;
-    StartRun held = std::move(it->second);
-    held_starts_.erase(it);
-    RunOnBackend(std::move(held));
+void Sidecar::Impl::OnRunEnded(RunResult result) {
+  Decide([&](TimeMs now, MeshNode::Actions* actions) {
+    node_->OnResult(now, std::move(result), actions);
   });
 }
 
-void Sidecar::Impl::CancelRun(const CancelRunOnBackend& cancel) {
-  if (held_starts_.erase(cancel.run) > 0) {
-    RunResult result;
-    result.run = cancel.run;
-    result.type = RunResult::Type::kCancelled;
-    return TakeResult(std::move(result));
-  }
-  if (!cancel.unless_begun) backend_->Cancel(cancel.run);
-}
-
-void Sidecar::Impl::TakeResult(RunResult result) {
-  // May be told while the node is being called: it must not be entered again.
-  auto shared = std::make_shared<RunResult>(std::move(result));
-  asio::post(io_, [this, shared] {
-    Decide([&](TimeMs now, MeshNode::Actions* actions) {
-      node_->OnResult(now, std::move(*shared), actions);
-    });
+void Sidecar::Impl::OnProbed(bool up, const std::string& instance) {
+  Decide([&](TimeMs now, MeshNode::Actions* actions) {
+    node_->OnProbed(now, up, instance, actions);
   });
 }
 
-void Sidecar::Impl::RunOnBackend(StartRun start) {
-  uint64_t run = start.run;
-  std::string request_id = start.request.request_id;
-  backend_->Send(
-      run, protocol_->WriteRun(start), start.remaining_ms,
-      [this, run](HttpOutcome outcome) {
-        RunResult result;
-        if (!outcome.failure) {
-          result = protocol_->ReadRunAnswer(std::move(outcome.response));
-        } else {
-          switch (*outcome.failure) {
-            case HttpFailure::kNotSent:
-              result.type = RunResult::Type::kNotSent;
-              break;
-            case HttpFailure::kTimeout:
-              result.type = RunResult::Type::kTimeout;
-              break;
-            case HttpFailure::kCancelled:
-              result.type = RunResult::Type::kCancelled;
-              break;
-            case HttpFailure::kBroken:
-            case HttpFailure::kTooLarge:
-              result.type = RunResult::Type::kBroken;
-              break;
-          }
-        }
-        result.run = run;
-        TakeResult(std::move(result));
-      },
-      [this, request_id](const HttpResponse& answer) {
-        return protocol_->AnswerBelongs(answer, request_id);
-      });
-}
-
-void Sidecar::Impl::ProbeBackend() {
-  // Probes have numbers of their own, beyond those of runs.
-  constexpr uint64_t kProbeBit = uint64_t{1} << 63;
-  backend_->Send(
-      kProbeBit | next_probe_++, protocol_->WriteProbe(""),
-      settings_.probe_timeout_ms, [this](HttpOutcome outcome) {
-        bool up = !outcome.failure || *outcome.failure == HttpFailure::kTimeout;
-        std::string instance =
-            outcome.failure ? "" : protocol_->ReadProbe(outcome.response);
-        asio::post(io_, [this, up, instance] {
-          Decide([&](TimeMs now, MeshNode::Actions* actions) {
-            node_->OnProbed(now, up, instance, actions);
-          });
-        });
-      });
-}
-
 void Sidecar::Impl::CallStore(PlatformCall call) {
   int64_t timeout_ms = settings_.store_timeout_ms + call.wait_ms;
   uint64_t id = call.id;
--- a/banyanloft/store/http_codec.cc
+++ b/banyanloft/store/http_codec.cc
@@ -5,14 +5,11 @@
 #include <charconv>
 
 #include "banyanloft/config/json.h"
+#include "banyanloft/store/call_outcome.h"
 
 namespace banyanloft {
 namespace {
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusNotFound = 404;
-constexpr int kStatusConflict = 409;
-
 uint64_t RevisionOf(const HttpResponse& response) {
   std::string_view text = HeaderOf(response.headers, "Revision");
   uint64_t revision = 0;
@@ -20,10 +17,6 @@
   return revision;
 }
 
-Error Unavailable(std::string detail) {
-  return Error{ErrorKind::kPlatformUnavailable, std::move(detail)};
-}
-
 bool ReadList(const std::string& body, std::vector<PlatformObject>* objects) {
   Json json = ParseJson(body);
   if (!json.is_array()) return false;
@@ -74,29 +67,17 @@
                               const HttpOutcome& outcome) {
   PlatformReply reply;
   reply.id = call.id;
-  if (outcome.failure) {
-    reply.error = Unavailable("no answer");
-    return reply;
-  }
-  const HttpResponse& response = outcome.response;
-  if (response.status == kStatusConflict) {
-    reply.error = Error{ErrorKind::kConflict, "the revision has moved on"};
-    return reply;
-  }
-  bool missing = response.status == kStatusNotFound &&
-                 call.type == PlatformCall::Type::kRead;
-  if (missing) return reply;
-  if (response.status != kStatusOk) {
-    reply.error = Unavailable(fmt::format("status {}", response.status));
-    return reply;
-  }
+  CallOutcome read = CallOutcomeOf(call, outcome);
+  reply.error = read.error;
+  if (!read.has_body) return reply;
 
+  const HttpResponse& response = outcome.response;
   reply.revision = RevisionOf(response);
   if (call.type == PlatformCall::Type::kRead) {
     reply.objects.push_back({call.key, reply.revision, response.body});
   } else if (call.type == PlatformCall::Type::kList &&
              !ReadList(response.body, &reply.objects)) {
-    reply.error = Unavailable("malformed list");
+    reply.error = StoreUnavailable("malformed list");
   }
   return reply;
 }
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -8,6 +8,7 @@
 
 #include "banyanloft/core/time.h"
 #include "platform/wire_names.h"
+#include "standins/mesh_configuration.h"
 
 namespace banyanloft::soak {
 namespace {
@@ -36,7 +37,6 @@
 constexpr int64_t kPortsOfInstance = 20;
 constexpr int kSlots = 8;
 constexpr int kZoneSize = 4;
-constexpr char kHost[] = "mesh.example";
 
 enum Port : int {
   kOutbound,
@@ -48,36 +48,15 @@
   kFirstProxy = 10,
 };
 
-Json Rule(const std::string& name, const std::string& kind,
-          const std::string& prefix, const std::string& service) {
-  return {{"name", name},
-          {"kind", kind},
-          {"aim_s", 0.4},
-          {"priority", kind == "unsafe" ? 0 : 1},
-          {"match", {{"path_prefix", prefix}}},
-          {"action",
-           {{"service", service}, {"timeout_s", 1.5}, {"max_attempts", 2}}}};
-}
-
 std::string NewRoute(int version) { return fmt::format("/new-{}/", version); }
 
+/// Each version has the routes of those before and one more.
 Json ConfigurationOf(int version) {
-  Json rules = {Rule("lookup", "safe", "/lookup/", "catalogue"),
-                Rule("register", "unsafe", "/register/", "pledges")};
+  std::vector<Json> more;
   for (int v = 2; v <= version; ++v)
-    rules.push_back(
-        Rule(fmt::format("new-{}", v), "safe", NewRoute(v), "pledges"));
-  Json clusters = Json::array();
-  for (const char* service : {"catalogue", "pledges"})
-    clusters.push_back({{"name", service}, {"max_connections", 100}});
-  return {{"version", fmt::format("{:08x}", version)},
-          {"limits",
-           {{"max_header_bytes", 16384},
-            {"max_body_bytes", 1000000},
-            {"header_timeout_s", 3},
-            {"idle_timeout_s", 15}}},
-          {"listeners", {{{"host", kHost}, {"rule_set", rules}}}},
-          {"clusters", clusters}};
+    more.push_back(
+        MeshRoute(fmt::format("new-{}", v), "safe", NewRoute(v), "pledges"));
+  return MeshConfiguration(version, more);
 }
 
 FaultPlanSettings PlanSettingsOf(const SoakSettings& settings) {
@@ -323,7 +302,7 @@
   request.method = idempotent ? "GET" : "POST";
   request.target = asked.target;
   request.body = asked.body;
-  request.headers = {{"Host", kHost},
+  request.headers = {{"Host", kMeshHost},
                      {wire::header::kRequestId, id},
                      {wire::header::kWaitMs, std::to_string(kClientWaitMs)}};
   std::string whole = BodyOfAnswer(id, asked.target, asked.body);
--- a/standins/mesh_standin.cc
+++ b/standins/mesh_standin.cc
@@ -18,6 +18,7 @@
 #include "banyanloft/http/http_client.h"
 #include "platform/wire_names.h"
 #include "standins/mesh_backend.h"
+#include "standins/mesh_configuration.h"
 #include "standins/mesh_store.h"
 
 namespace {
@@ -70,32 +71,8 @@
 
 TimeMs Now() { return SteadyClock().Now(); }
 
-Json Rule(const std::string& name, const std::string& kind,
-          const std::string& prefix, const std::string& service) {
-  return {{"name", name},
-          {"kind", kind},
-          {"aim_s", 0.4},
-          {"priority", kind == "unsafe" ? 0 : 1},
-          {"match", {{"path_prefix", prefix}}},
-          {"action",
-           {{"service", service}, {"timeout_s", 1.5}, {"max_attempts", 2}}}};
-}
-
-Json ConfigurationOf(int version, bool with_new_route) {
-  Json rules = {Rule("lookup", "safe", "/lookup/", "catalogue"),
-                Rule("register", "unsafe", "/register/", "pledges")};
-  if (with_new_route) rules.push_back(Rule("new", "safe", "/new/", "pledges"));
-  Json clusters = Json::array();
-  for (const char* service : {"catalogue", "pledges"})
-    clusters.push_back({{"name", service}, {"max_connections", 100}});
-  return {{"version", fmt::format("{:08x}", version)},
-          {"limits",
-           {{"max_header_bytes", 16384},
-            {"max_body_bytes", 1000000},
-            {"header_timeout_s", 3},
-            {"idle_timeout_s", 15}}},
-          {"listeners", {{{"host", "mesh.example"}, {"rule_set", rules}}}},
-          {"clusters", clusters}};
+std::vector<Json> NewRoute() {
+  return {MeshRoute("new", "safe", "/new/", "pledges")};
 }
 
 /// Plays the load and judges it.
@@ -112,7 +89,7 @@
   bool Start() {
     Result<Endpoint> store = store_.Start();
     bool ok = ErrorOf(store) == nullptr;
-    store_.Put("config", "main", ConfigurationOf(1, false));
+    store_.Put("config", "main", MeshConfiguration(1, {}));
     for (int64_t i = 0; i < options_.daemons; ++i) {
       Ports ports(options_.base_port + 10 * (i + 1));
       std::string service = i % 2 == 0 ? "catalogue" : "pledges";
@@ -228,7 +205,7 @@
     }
     if (at_ms >= options_.seconds * 400 && changed_at_ < 0) {
       changed_at_ = at_ms;
-      store_.Put("config", "main", ConfigurationOf(2, true));
+      store_.Put("config", "main", MeshConfiguration(2, NewRoute()));
     }
     Tick();
   }
@@ -247,7 +224,7 @@
                                    : "/register/") +
                      id;
     request.body = idempotent ? "" : "pledge";
-    request.headers = {{"Host", "mesh.example"},
+    request.headers = {{"Host", kMeshHost},
                        {wire::header::kRequestId, id},
                        {wire::header::kWaitMs, std::to_string(kClientWaitMs)}};
     std::string expected = BodyOfAnswer(id, request.target, request.body);
--- /dev/null
+++ b/tests/backend_edge_test.cc
@@ -0,0 +1,113 @@
+#include "banyanloft/mesh/backend_edge.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "banyanloft/http/http_server.h"
+#include "platform/platform_protocol.h"
+#include "platform/wire_names.h"
+
+using namespace banyanloft;
+
+namespace {
+
+/// A backend server that answers each request at once and counts them.
+class CountingServer final : public HttpHandler {
+ public:
+  explicit CountingServer(boost::asio::io_context& io)
+      : server_(io, SettingsOf(), this) {}
+  Endpoint Start() {
+    Result<Endpoint> started = server_.Start();
+    return *ValueOf(started);
+  }
+  void OnRequest(uint64_t id, HttpRequest request) override {
+    ++requests;
+    HttpResponse answer;
+    answer.status = 200;
+    for (const char* name :
+         {platform::header::kRequestId, platform::header::kInstance})
+      answer.headers.emplace_back(name, HeaderOf(request.headers, name));
+    answer.headers.emplace_back(platform::header::kSignature, "s");
+    server_.Reply(id, std::move(answer));
+  }
+  void OnAbandoned(uint64_t) override {}
+  HttpResponse OnRefused(ErrorKind) override { return {}; }
+
+  int requests = 0;
+
+ private:
+  static HttpServerSettings SettingsOf() {
+    HttpServerSettings settings;
+    settings.listen = {"127.0.0.1", 0};
+    return settings;
+  }
+  HttpServer server_;
+};
+
+class Results final : public BackendEdgeListener {
+ public:
+  void OnRunEnded(RunResult result) override { types.push_back(result.type); }
+  void OnProbed(bool, const std::string&) override {}
+  std::vector<RunResult::Type> types;
+};
+
+}  // namespace
+
+TEST_GROUP(backend_edge) {
+  boost::asio::io_context io_;
+  CountingServer server_{io_};
+  platform::PlatformProtocol protocol_;
+  Results results_;
+  std::unique_ptr<BackendEdge> edge_;
+
+  void setup() override {
+    HttpClientSettings settings;
+    settings.server = server_.Start();
+    edge_ = std::make_unique<BackendEdge>(io_, settings, 1000, &protocol_,
+                                          &results_);
+  }
+  StartRun Run() {
+    StartRun start;
+    start.run = 7;
+    start.instance = "i-1";
+    start.remaining_ms = 1000;
+    start.request.request_id = "r-1";
+    start.request.headers = {{platform::header::kRequestId, "r-1"}};
+    start.request.method = "POST";
+    start.request.target = "/x/";
+    return start;
+  }
+  void Loop() { io_.run_for(std::chrono::milliseconds(100)); }
+};
+
+TEST(backend_edge, start_isAnswered) {
+  edge_->Start(Run(), false);
+  Loop();
+  LONGS_EQUAL(1, results_.types.size());
+  CHECK(results_.types[0] == RunResult::Type::kAnswered);
+}
+
+TEST(backend_edge, startAfterInput_isAnswered) {
+  edge_->Start(Run(), true);
+  Loop();
+  LONGS_EQUAL(1, results_.types.size());
+  CHECK(results_.types[0] == RunResult::Type::kAnswered);
+}
+
+/// A process that had no processor time reads a request and its withdrawal at
+/// once: the backend server hears of neither.
+TEST(backend_edge, startAfterInput_withdrawnBefore_neverReachesTheServer) {
+  edge_->Start(Run(), true);
+  edge_->Cancel(CancelRunOnBackend{7, true});
+  Loop();
+  LONGS_EQUAL(0, server_.requests);
+  LONGS_EQUAL(1, results_.types.size());
+  CHECK(results_.types[0] == RunResult::Type::kCancelled);
+}
+
+TEST(backend_edge, cancelUnlessBegun_afterTheStart_runGoesOn) {
+  edge_->Start(Run(), false);
+  edge_->Cancel(CancelRunOnBackend{7, true});
+  Loop();
+  LONGS_EQUAL(1, server_.requests);
+  CHECK(results_.types[0] == RunResult::Type::kAnswered);
+}
