--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <fstream>
 
 #include "banyanloft/core/time.h"
 #include "platform/wire_names.h"
@@ -34,19 +33,6 @@
 constexpr int64_t kDrainedMs = 3000;  ///< A leaving backend server stays.
 constexpr int kGiveUpPermille = 10;
 constexpr int64_t kGiveUpMs = 30;
-constexpr int64_t kPortsOfInstance = 20;
-constexpr int kSlots = 8;
-constexpr int kZoneSize = 4;
-
-enum Port : int {
-  kOutbound,
-  kReady,
-  kControl,
-  kBackend,
-  kLink,
-  kGossip,
-  kFirstProxy = 10,
-};
 
 std::string NewRoute(int version) { return fmt::format("/new-{}/", version); }
 
@@ -110,21 +96,22 @@
              static_cast<uint64_t>(settings.seed) + 2),
       tick_(io) {}
 
-Endpoint Soak::PortOf(const Instance& instance, int offset) const {
-  return Local(instance.first_port + offset);
-}
-
 bool Soak::Start() {
   Result<Endpoint> store = store_.Start();
   if (ErrorOf(store) != nullptr) return false;
   store_.Put("config", "main", ConfigurationOf(version_));
   for (int i = 0; i < settings_.daemons; ++i) {
-    auto instance = std::make_unique<Instance>();
-    instance->index = i;
-    instance->first_port = settings_.base_port + (i + 1) * kPortsOfInstance;
-    instance->service = i % 2 == 0 ? "catalogue" : "pledges";
-    instances_.push_back(std::move(instance));
-    if (!StartInstance(instances_.back().get())) return false;
+    InstanceSettings instance;
+    instance.index = i;
+    instance.service = i % 2 == 0 ? "catalogue" : "pledges";
+    instance.program = settings_.program;
+    instance.dir = settings_.dir;
+    instance.first_port =
+        settings_.base_port + (i + 1) * Instance::kPortsOfInstance;
+    instance.store = Local(settings_.base_port);
+    instance.grace_ms = kGraceMs;
+    instances_.push_back(std::make_unique<Instance>(io_, instance, this));
+    if (!instances_.back()->Start(random_.Bits())) return false;
   }
   began_ = SteadyClock().Now() + kStartMs;
   calm_at_ = began_ + settings_.span_ms;
@@ -134,78 +121,6 @@
   return true;
 }
 
-bool Soak::StartInstance(Instance* instance) {
-  WriteSettings(*instance);
-  const std::vector<Endpoint> targets = {
-      PortOf(*instance, kOutbound), PortOf(*instance, kBackend),
-      PortOf(*instance, kLink), Local(settings_.base_port),
-      PortOf(*instance, kControl)};
-  for (size_t edge = 0; edge < kEdges; ++edge) {
-    instance->proxies.push_back(std::make_unique<LoopbackProxy>(
-        io_, PortOf(*instance, kFirstProxy + static_cast<int>(edge)),
-        targets[edge]));
-    if (ErrorOf(instance->proxies.back()->Start()) != nullptr) return false;
-  }
-  instance->edge_fault.resize(kEdges);
-  HttpClientSettings client;
-  client.server =
-      PortOf(*instance, kFirstProxy + static_cast<int>(Edge::kClients));
-  instance->client = std::make_unique<HttpClient>(io_, client);
-  return StartBackend(instance) && StartDaemon(instance);
-}
-
-void Soak::WriteSettings(const Instance& instance) const {
-  auto proxy = [&](Edge edge) {
-    return PortOf(instance, kFirstProxy + static_cast<int>(edge)).Text();
-  };
-  std::ofstream file(
-      fmt::format("{}/sidecar-{}.toml", settings_.dir, instance.index));
-  file << fmt::format(
-      "node_name = \"sidecar-{0}\"\nip = \"127.0.0.1\"\nzone = \"z{1}\"\n"
-      "internal_ports = [{2},{3}]\nheartbeat_interval_s = 0.5\n"
-      "bounds = [\"grace_s={4}\",\"retry_budget_ratio=0.2\","
-      "\"retry_budget_slack=50\",\"budget_window_s=10\"]\n"
-      "app_addr = \"{5}\"\nservice = \"{6}\"\n[listen]\n"
-      "outbound = \"{7}\"\nready = \"{8}\"\ncontrol = \"{9}\"\n"
-      "[platform]\naddress = \"{10}\"\n",
-      instance.index, instance.index / kZoneSize, PortOf(instance, kLink).port,
-      PortOf(instance, kGossip).port, kGraceMs / 1000, proxy(Edge::kBackend),
-      instance.service, PortOf(instance, kOutbound).Text(),
-      PortOf(instance, kReady).Text(), PortOf(instance, kControl).Text(),
-      Local(settings_.base_port).Text());
-}
-
-bool Soak::StartDaemon(Instance* instance) {
-  instance->told_to_end = false;
-  instance->restart = false;
-  instance->paused = false;
-  std::string name =
-      fmt::format("{}/sidecar-{}", settings_.dir, instance->index);
-  Endpoint link =
-      PortOf(*instance, kFirstProxy + static_cast<int>(Edge::kLinks));
-  Endpoint store =
-      PortOf(*instance, kFirstProxy + static_cast<int>(Edge::kStore));
-  return instance->daemon.Start(
-      {settings_.program, "--advertise-link", link.Text(), "--store-via",
-       store.Text(), name + ".toml"},
-      name + ".log");
-}
-
-bool Soak::StartBackend(Instance* instance) {
-  MeshBackendSettings backend;
-  backend.id = fmt::format("i-{}-{}", instance->index, instance->backends++);
-  backend.service = instance->service;
-  backend.listen = PortOf(*instance, kBackend);
-  backend.reported =
-      PortOf(*instance, kFirstProxy + static_cast<int>(Edge::kBackend));
-  backend.control =
-      PortOf(*instance, kFirstProxy + static_cast<int>(Edge::kReports));
-  backend.seed = random_.Bits();
-  backend.slots = kSlots;
-  instance->backend = std::make_unique<MeshBackend>(io_, backend, this);
-  return ErrorOf(instance->backend->Start()) == nullptr;
-}
-
 void Soak::At(int64_t ms, std::function<void()> then) {
   auto timer = std::make_shared<boost::asio::steady_timer>(io_);
   timer->expires_after(std::chrono::milliseconds(ms));
@@ -229,7 +144,7 @@
   if (!asking_ && !ending_ && now >= end_at_) EndDaemons();
   bool running = std::any_of(
       instances_.begin(), instances_.end(),
-      [](const auto& instance) { return instance->daemon.Running(); });
+      [](const auto& instance) { return instance->Daemon()->Running(); });
   if (ending_ && !running) {
     over_ = true;
     io_.stop();
@@ -241,16 +156,17 @@
 void Soak::ReapDaemons() {
   TimeMs now = SteadyClock().Now();
   for (auto& instance : instances_) {
-    std::optional<int> code = instance->daemon.Reap();
+    std::optional<int> code = instance->Daemon()->Reap();
     if (code && !instance->told_to_end)
-      book_.Note("ended_by_itself",
-                 fmt::format("sidecar-{} code {}", instance->index, *code));
-    bool late = instance->daemon.Running() && instance->told_to_end &&
+      book_.Note(
+          "ended_by_itself",
+          fmt::format("sidecar-{} code {}", instance->Settings().index, *code));
+    bool late = instance->Daemon()->Running() && instance->told_to_end &&
                 now - instance->term_at > kGraceMs + kGraceSlackMs;
     if (late) {
       book_.Note("stop_took_too_long",
-                 fmt::format("sidecar-{}", instance->index));
-      instance->daemon.Signal(SIGKILL);
+                 fmt::format("sidecar-{}", instance->Settings().index));
+      instance->Daemon()->Signal(SIGKILL);
       instance->term_at = now;
     }
     if (!code || ending_) continue;
@@ -260,7 +176,8 @@
       restarted->restart = false;
       Disturb(restarted, kRestartMs);
       At(kRestartMs, [this, restarted] {
-        if (!ending_ && !restarted->daemon.Running()) StartDaemon(restarted);
+        if (!ending_ && !restarted->Daemon()->Running())
+          restarted->StartDaemon();
       });
     }
   }
@@ -285,7 +202,7 @@
   std::string id = fmt::format("r-{:x}", next_request_++);
   Asked asked;
   asked.at = now;
-  asked.daemon = instance.index;
+  asked.daemon = instance.Settings().index;
   asked.idempotent = idempotent;
   asked.service = idempotent && !new_route ? "catalogue" : "pledges";
   asked.target = (new_route    ? NewRoute(version_)
@@ -310,7 +227,7 @@
   bool gives_up = random_.Permille(kGiveUpPermille);
   uint64_t number = next_request_;
   Instance* at = &instance;
-  instance.client->Send(
+  instance.Client()->Send(
       number, std::move(request), kClientWaitMs,
       [this, id, whole, gives_up, at](HttpOutcome outcome) {
         Ended ended;
@@ -329,7 +246,7 @@
         if (outcome.failure == HttpFailure::kNotSent) ended.gave_up = true;
         book_.OnEnded(id, ended);
       });
-  if (gives_up) At(kGiveUpMs, [at, number] { at->client->Cancel(number); });
+  if (gives_up) At(kGiveUpMs, [at, number] { at->Client()->Cancel(number); });
 }
 
 void Soak::OnArrival(const MeshBackend& backend, const std::string& id,
@@ -377,20 +294,20 @@
 }
 
 void Soak::InjectAtDaemon(const Fault& fault, Instance* instance) {
-  if (!instance->daemon.Running()) return;
+  if (!instance->Daemon()->Running()) return;
   Disturb(instance, fault.for_ms);
   switch (fault.kind) {
     case FaultKind::kReloadDaemon:
-      instance->daemon.Signal(SIGHUP);
+      instance->Daemon()->Signal(SIGHUP);
       return;
     case FaultKind::kPauseDaemon:
-      instance->daemon.Signal(SIGSTOP);
-      At(fault.for_ms, [instance] { instance->daemon.Signal(SIGCONT); });
+      instance->Daemon()->Signal(SIGSTOP);
+      At(fault.for_ms, [instance] { instance->Daemon()->Signal(SIGCONT); });
       return;
     case FaultKind::kStopDaemon:
       if (instance->told_to_end) return;
       Disturb(instance, kGraceMs);
-      instance->daemon.Signal(SIGTERM);
+      instance->Daemon()->Signal(SIGTERM);
       instance->told_to_end = true;
       instance->restart = true;
       instance->term_at = SteadyClock().Now();
@@ -398,23 +315,19 @@
     default:
       instance->told_to_end = true;
       instance->term_at = SteadyClock().Now();
-      instance->daemon.Signal(SIGKILL);
+      instance->Daemon()->Signal(SIGKILL);
       At(fault.for_ms, [this, instance] {
-        if (!ending_ && !instance->daemon.Running()) StartDaemon(instance);
+        if (!ending_ && !instance->Daemon()->Running()) instance->StartDaemon();
       });
   }
 }
 
 void Soak::InjectAtEdge(const Fault& fault, Instance* instance) {
   Disturb(instance, fault.for_ms);
-  size_t edge = static_cast<size_t>(fault.edge);
-  uint64_t token = next_fault_++;
-  instance->edge_fault[edge] = token;
-  instance->proxies[edge]->SetFault(ProxyFaultOf(fault.kind));
-  At(fault.for_ms, [instance, edge, token] {
-    if (instance->edge_fault[edge] != token) return;
-    instance->proxies[edge]->SetFault(ProxyFault::kNone);
-  });
+  Edge edge = fault.edge;
+  uint64_t token = instance->SetEdgeFault(edge, ProxyFaultOf(fault.kind));
+  At(fault.for_ms,
+     [instance, edge, token] { instance->EndEdgeFault(edge, token); });
 }
 
 void Soak::InjectAtStore(const Fault& fault) {
@@ -430,20 +343,23 @@
 }
 
 void Soak::InjectAtBackend(const Fault& fault, Instance* instance) {
-  if (!instance->backend || instance->backend->Draining()) return;
+  if (instance->Backend() == nullptr || instance->Backend()->Draining()) return;
   bool drains = fault.kind == FaultKind::kDrainBackend;
   int64_t stays_ms = drains ? kDrainedMs : 0;
   int64_t away_ms = drains ? kRestartMs : fault.for_ms;
   Disturb(instance, stays_ms + away_ms);
-  if (drains) instance->backend->Drain();
+  if (drains) instance->Backend()->Drain();
   At(stays_ms, [this, instance, away_ms] {
-    if (!instance->backend) return;
-    if (instance->backend->LateArrivals() > 0)
-      book_.Note("request_after_drain", instance->backend->Settings().id);
-    instance->backend.reset();
+    MeshBackend* backend = instance->Backend();
+    if (backend == nullptr) return;
+    if (backend->LateArrivals() > 0)
+      book_.Note("request_after_drain", backend->Settings().id);
+    instance->DropBackend();
     At(away_ms, [this, instance] {
-      if (!instance->backend && !StartBackend(instance))
-        book_.Note("backend_address_taken", std::to_string(instance->index));
+      bool away = instance->Backend() == nullptr;
+      if (away && !instance->StartBackend(random_.Bits()))
+        book_.Note("backend_address_taken",
+                   std::to_string(instance->Settings().index));
     });
   });
 }
@@ -471,7 +387,7 @@
 void Soak::EndDaemons() {
   ending_ = true;
   for (auto& instance : instances_) {
-    instance->daemon.Signal(SIGTERM);
+    instance->Daemon()->Signal(SIGTERM);
     instance->told_to_end = true;
     instance->term_at = SteadyClock().Now();
   }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -7,12 +7,9 @@
 #include <vector>
 
 #include "banyanloft/core/random.h"
-#include "banyanloft/http/http_client.h"
-#include "soak/daemon_process.h"
 #include "soak/fault_plan.h"
-#include "soak/loopback_proxy.h"
+#include "soak/instance.h"
 #include "soak/request_book.h"
-#include "standins/mesh_backend.h"
 #include "standins/mesh_store.h"
 
 namespace banyanloft::soak {
@@ -46,29 +43,6 @@
                  const HttpRequest& request) override;
 
  private:
-  /// One instance: a daemon, its backend server, and what lies between.
-  struct Instance {
-    int index = 0;
-    int64_t first_port = 0;
-    std::string service;
-    DaemonProcess daemon;
-    std::unique_ptr<MeshBackend> backend;
-    std::vector<std::unique_ptr<LoopbackProxy>> proxies;  ///< By Edge.
-    std::vector<uint64_t> edge_fault;  ///< By Edge: the last fault on it.
-    std::unique_ptr<HttpClient> client;
-    bool told_to_end = false;
-    TimeMs term_at;
-    bool restart = false;
-    bool paused = false;
-    TimeMs disturbed_until;  ///< By faults; in touch a while after.
-    int backends = 0;        ///< Started so far.
-  };
-
-  Endpoint PortOf(const Instance& instance, int offset) const;
-  bool StartInstance(Instance* instance);
-  void WriteSettings(const Instance& instance) const;
-  bool StartDaemon(Instance* instance);
-  bool StartBackend(Instance* instance);
   void At(int64_t ms, std::function<void()> then);
   void Tick();
   void OnTick();
