A version confirmed by peers is not polled; datagrams say how old the confirmation is

Cause: members that do not watch read the store each 5 s, whatever their peers knew. Change: each datagram says how long ago the store held nothing newer, as far as the sender knows; a member reads only once its version has been unconfirmed for 5 s. Out-of-date reads confirm nothing. The protocol between daemons is now version 3. The age on the metrics page is that of the version.

--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -388,11 +388,11 @@
 
 std::string EncodeDatagram(const Datagram& d, const std::string& secret) {
   Json subject = d.subject.id != 0 ? Encode(d.subject) : Json(nullptr);
-  std::string payload = ToCbor(
-      Json::array({kProtocolNewest, static_cast<int>(d.type), d.from,
-                   d.sequence, d.reply_to, subject, d.version, d.from_link,
-                   d.zone, d.detail, d.wants_reply, EncodeMembers(d.members),
-                   EncodeStrikes(d.strikes), d.digest}));
+  std::string payload = ToCbor(Json::array(
+      {kProtocolNewest, static_cast<int>(d.type), d.from, d.sequence,
+       d.reply_to, subject, d.version, d.version_age_ms, d.from_link, d.zone,
+       d.detail, d.wants_reply, EncodeMembers(d.members),
+       EncodeStrikes(d.strikes), d.digest}));
   return KeyedHash(secret, payload) + payload;
 }
 
@@ -421,6 +421,7 @@
     if (d.subject.id == 0) r.Fail();
   }
   d.version = r.Unsigned();
+  d.version_age_ms = r.Integer();
   d.from_link = r.String();
   d.zone = r.String();
   d.detail = r.String();
--- a/banyanloft/links/peer_message.h
+++ b/banyanloft/links/peer_message.h
@@ -19,8 +19,8 @@
 
 /// Protocol versions that this release speaks; links use the highest common
 /// one.
-inline constexpr int kProtocolOldest = 2;
-inline constexpr int kProtocolNewest = 2;
+inline constexpr int kProtocolOldest = 3;
+inline constexpr int kProtocolNewest = 3;
 
 /// CBOR of a link message.
 std::string EncodePeerMessage(const PeerMessage& message);
--- a/banyanloft/membership/member.h
+++ b/banyanloft/membership/member.h
@@ -67,9 +67,12 @@
   DatagramType type = DatagramType::kNews;
   MemberId from = 0;
   uint64_t sequence = 0;
-  std::string reply_to;   ///< With kPingRequest: gossip address of the asker.
-  MemberRecord subject;   ///< With kPing and kPingRequest.
-  uint64_t version = 0;   ///< Configuration version in force at the sender.
+  std::string reply_to;  ///< With kPingRequest: gossip address of the asker.
+  MemberRecord subject;  ///< With kPing and kPingRequest.
+  uint64_t version = 0;  ///< Configuration version in force at the sender.
+  /// How long ago the store is known to have held no newer version, in ms;
+  /// negative: not known.
+  int64_t version_age_ms = -1;
   std::string from_link;  ///< Link address of the sender, to pull from.
   std::string zone;       ///< Availability zone of the sender.
   std::string detail;     ///< With kInForce: why a newer version was refused.
--- a/banyanloft/mesh/config_follower.cc
+++ b/banyanloft/mesh/config_follower.cc
@@ -15,11 +15,7 @@
 ConfigFollower::ConfigFollower(const ConfigFollowerSettings& settings,
                                uint64_t seed, TimeMs now,
                                const ConfigurationReader* reader)
-    : settings_(settings),
-      random_(seed),
-      reader_(reader),
-      next_call_(now),
-      answered_at_(now) {}
+    : settings_(settings), random_(seed), reader_(reader), next_call_(now) {}
 
 void ConfigFollower::Tick(TimeMs now, bool watching, Actions* actions) {
   if (pull_version_ != 0 && now >= pull_deadline_) pull_version_ = 0;
@@ -35,12 +31,18 @@
     call_ = Call::kNone;
     OnCallFailed(now, "no answer in time", actions);
   }
-  // Whoever becomes a watcher does not wait for its next poll.
-  bool hurry = watching && failures_ == 0;
-  if (call_ == Call::kNone && (now >= next_call_ || hurry))
+  if (call_ == Call::kNone && CallDue(now, watching))
     StartCall(now, watching, actions);
 }
 
+bool ConfigFollower::CallDue(TimeMs now, bool watching) const {
+  // Whoever becomes a watcher does not wait for its next poll.
+  if (watching && failures_ == 0) return true;
+  if (now < next_call_) return false;
+  bool polls = !watching && table_ && failures_ == 0;
+  return !polls || !confirmed_at_ || now - *confirmed_at_ >= settings_.poll_ms;
+}
+
 void ConfigFollower::StartCall(TimeMs now, bool watching, Actions* actions) {
   PlatformCall call;
   call.type = PlatformCall::Type::kList;
@@ -53,7 +55,7 @@
     call_deadline_ = now + settings_.watch_wait_ms + settings_.timeout_ms;
   } else {
     call.stale_ok = table_ != nullptr && !watching;
-    call_ = Call::kRead;
+    call_ = call.stale_ok ? Call::kStaleRead : Call::kRead;
     call_deadline_ = now + settings_.timeout_ms;
   }
   counters_.Add("config_reads_total", watch ? "watch" : "read");
@@ -82,6 +84,7 @@
                              Actions* actions) {
   if (call_ == Call::kNone) return;
   bool was_watch = call_ == Call::kWatch;
+  bool may_be_stale = call_ == Call::kStaleRead;
   call_ = Call::kNone;
   if (reply.error && reply.error->kind == ErrorKind::kHistoryLost) {
     // A read brings the present state, from which to watch on.
@@ -99,7 +102,7 @@
                    {"revision", std::to_string(reply.revision)}}});
   }
   failures_ = 0;
-  answered_at_ = now;
+  if (!may_be_stale) confirmed_at_ = now;
   revision_ = std::max(revision_, reply.revision);
   next_call_ = was_watch ? now : now + settings_.poll_ms;
   for (const PlatformObject& object : reply.objects) {
@@ -111,7 +114,11 @@
 }
 
 void ConfigFollower::OnRumour(TimeMs now, const std::string& link, bool near,
-                              uint64_t version, Actions* actions) {
+                              uint64_t version, int64_t age_ms,
+                              Actions* actions) {
+  bool confirms = version == Version() && version != 0 && age_ms >= 0;
+  if (confirms && (!confirmed_at_ || now - age_ms > *confirmed_at_))
+    confirmed_at_ = now + -age_ms;
   bool newer = version > Version() && version > pull_version_;
   if (!newer || link.empty()) return;
   if (near) return Pull(now, link, version, actions);
--- a/banyanloft/mesh/config_follower.h
+++ b/banyanloft/mesh/config_follower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -32,8 +33,10 @@
   /// connection died in silence goes unnoticed.
   int64_t watch_wait_ms = 2000;
   int64_t timeout_ms = 800;  ///< Wait for an answer beyond the watch's, in ms.
-  /// Members that do not watch read this often, in ms, in case no rumour
-  /// reaches them; by a read that may be out of date and costs little.
+  /// Members that do not watch read once nobody has confirmed their version for
+  /// this long, in ms, and then this often; by a read that may be out of date
+  /// and costs little. A watch that answers and the rumours of it take about
+  /// four seconds at most, so a healthy fleet does not poll.
   int64_t poll_ms = 5000;
   int64_t backoff_ms = 150;       ///< First pause after a failure, in ms.
   int64_t backoff_cap_ms = 1500;  ///< Longest pause after failures, in ms.
@@ -70,9 +73,11 @@
 
   /// The store answered the call under way.
   void OnStore(TimeMs now, const PlatformReply& reply, Actions* actions);
-  /// A peer has a version in force. `near`: it is in the same zone.
+  /// A peer has a version in force. `near`: it is in the same zone. `age_ms`:
+  /// how long ago the store held nothing newer, as the peer knows; negative:
+  /// not known.
   void OnRumour(TimeMs now, const std::string& link, bool near,
-                uint64_t version, Actions* actions);
+                uint64_t version, int64_t age_ms, Actions* actions);
   /// A peer asks for the document.
   DocumentReply OnDocumentRequest(const DocumentRequest& request) const;
   /// A peer sent its document.
@@ -83,15 +88,19 @@
 
   uint64_t Version() const { return table_ ? table_->Version() : 0; }
   const RouteTablePtr& Table() const { return table_; }
-  /// When the store last answered; the start if it never did.
-  TimeMs AnsweredAt() const { return answered_at_; }
+  /// How long ago the store is known to have held nothing newer than the
+  /// version in force, in ms; negative: not known.
+  int64_t VersionAgeMs(TimeMs now) const {
+    return confirmed_at_ ? now - *confirmed_at_ : -1;
+  }
   /// False while calls to the store fail.
   bool StoreReachable() const { return failures_ == 0; }
   const Counters& Counts() const { return counters_; }
 
  private:
-  enum class Call : uint8_t { kNone, kRead, kWatch };
+  enum class Call : uint8_t { kNone, kRead, kStaleRead, kWatch };
 
+  bool CallDue(TimeMs now, bool watching) const;
   void StartCall(TimeMs now, bool watching, Actions* actions);
   void OnCallFailed(TimeMs now, const std::string& reason, Actions* actions);
   void Pull(TimeMs now, const std::string& link, uint64_t version,
@@ -110,7 +119,9 @@
   Call call_ = Call::kNone;
   TimeMs call_deadline_;
   TimeMs next_call_;
-  TimeMs answered_at_;
+  /// When the store is last known to have held nothing newer: by an answer
+  /// that was not out of date, here or at the peers who spread it.
+  std::optional<TimeMs> confirmed_at_;
   int failures_ = 0;
   uint64_t pull_version_ = 0;  ///< Version asked of a peer; 0: none.
   TimeMs pull_deadline_;
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -152,12 +152,13 @@
   heard_at_ = now;
   std::vector<DatagramOut> out;
   membership_.OnDatagram(now, datagram, &out);
-  CarryDatagrams(std::move(out), actions);
+  CarryDatagrams(now, std::move(out), actions);
   std::vector<CrashStrike> news = runner_.OnStrikes(now, datagram.strikes);
   if (!news.empty()) membership_.SpreadStrikes(news);
   ConfigFollower::Actions changes;
   bool near = datagram.zone == settings_.zone;
-  config_.OnRumour(now, datagram.from_link, near, datagram.version, &changes);
+  config_.OnRumour(now, datagram.from_link, near, datagram.version,
+                   datagram.version_age_ms, &changes);
   CarryConfig(now, std::move(changes), actions);
 }
 
@@ -264,7 +265,7 @@
     next_membership_tick_ = now + kMembershipTickMs;
     std::vector<DatagramOut> datagrams;
     membership_.Tick(now, &datagrams);
-    CarryDatagrams(std::move(datagrams), actions);
+    CarryDatagrams(now, std::move(datagrams), actions);
     bool watching = Watching(now);
     ConfigFollower::Actions changes;
     config_.Tick(now, watching, &changes);
@@ -275,7 +276,7 @@
   }
   if (repeat_rumour_ && now >= repeat_rumour_at_) {
     repeat_rumour_ = false;
-    SendRumours(actions);
+    SendRumours(now, actions);
   }
   if (draining_ && !exit_sent_) TickDrain(now, actions);
 }
@@ -303,7 +304,7 @@
   membership_.Announce(now, MemberState::kGone, runner_.Service(), 0);
   std::vector<DatagramOut> datagrams;
   membership_.Tick(now, &datagrams);
-  CarryDatagrams(std::move(datagrams), actions);
+  CarryDatagrams(now, std::move(datagrams), actions);
   actions->push_back(ReadyToExit{});
 }
 
@@ -388,7 +389,7 @@
       actions->push_back(SendPeer{pull->link, kFirstRank, pull->request});
     } else if (auto* adopted = std::get_if<TableAdopted>(&action)) {
       forwarder_.SetTable(std::move(adopted->table));
-      SendRumours(actions);
+      SendRumours(now, actions);
       repeat_rumour_ = true;
       repeat_rumour_at_ = now + settings_.rumour_repeat_ms;
     } else {
@@ -397,22 +398,28 @@
   }
 }
 
-void MeshNode::SendRumours(Actions* actions) {
+void MeshNode::SendRumours(TimeMs now, Actions* actions) {
   for (const Peer& peer :
        SomePeers(&membership_, settings_.zone, kRumoursNear, kRumoursAny)) {
     Datagram datagram;
     datagram.from = id_;
     datagram.from_link = settings_.link_address;
     datagram.zone = settings_.zone;
-    datagram.version = config_.Version();
+    TellVersion(now, &datagram);
     actions->push_back(SendDatagram{peer.gossip, std::move(datagram)});
   }
 }
 
-void MeshNode::CarryDatagrams(std::vector<DatagramOut> list, Actions* actions) {
+void MeshNode::TellVersion(TimeMs now, Datagram* datagram) const {
+  datagram->version = config_.Version();
+  datagram->version_age_ms = config_.VersionAgeMs(now);
+}
+
+void MeshNode::CarryDatagrams(TimeMs now, std::vector<DatagramOut> list,
+                              Actions* actions) {
   for (DatagramOut& out : list) {
     // An ack passed on for another member says nothing of this one's version.
-    if (out.datagram.from == id_) out.datagram.version = config_.Version();
+    if (out.datagram.from == id_) TellVersion(now, &out.datagram);
     actions->push_back(
         SendDatagram{std::move(out.to), std::move(out.datagram)});
   }
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -103,9 +103,10 @@
   const Forwarder& Requests() const { return forwarder_; }
   std::vector<const Counters*> AllCounters() const;
   std::vector<const Histograms*> AllHistograms() const;
-  /// Time since the store last answered about the configuration, in ms.
+  /// Time since the store is known to have held no newer configuration, in ms;
+  /// -1 if it never was.
   int64_t ConfigurationAgeMs(TimeMs now) const {
-    return now - config_.AnsweredAt();
+    return config_.VersionAgeMs(now);
   }
   /// Time since another member was last heard of, in ms.
   int64_t MemberViewAgeMs(TimeMs now) const { return now - heard_at_; }
@@ -117,8 +118,11 @@
   void CarryForwarder(TimeMs now, Forwarder::Actions list, Actions* actions);
   void CarryRunner(TimeMs now, BackendRunner::Actions list, Actions* actions);
   void CarryConfig(TimeMs now, ConfigFollower::Actions list, Actions* actions);
-  void CarryDatagrams(std::vector<DatagramOut> list, Actions* actions);
-  void SendRumours(Actions* actions);
+  void CarryDatagrams(TimeMs now, std::vector<DatagramOut> list,
+                      Actions* actions);
+  void SendRumours(TimeMs now, Actions* actions);
+  /// Writes what this member knows of the configuration into a datagram.
+  void TellVersion(TimeMs now, Datagram* datagram) const;
   void UpdateStanding(TimeMs now);
   void TickDrain(TimeMs now, Actions* actions);
   void GiveBackWaiting(TimeMs now, Actions* actions);
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -403,7 +403,8 @@
        static_cast<double>(DroppedLogLines())},
       {"ready", "1 if clients should send new work here",
        node_->Ready(clock_.Now()) ? 1.0 : 0.0},
-      {"config_age_ms", "Time since the store last answered, in ms",
+      {"config_age_ms",
+       "Time since the store is known to have held no newer version, in ms",
        static_cast<double>(node_->ConfigurationAgeMs(clock_.Now()))},
       {"member_view_age_ms", "Time since another member was heard of, in ms",
        static_cast<double>(node_->MemberViewAgeMs(clock_.Now()))}};
--- a/tests/config_follower_test.cc
+++ b/tests/config_follower_test.cc
@@ -121,20 +121,69 @@
         settings.watch_wait_ms + settings.timeout_ms + 2 * settings.backoff_ms);
 }
 
+TEST(config_follower, versionConfirmedByPeers_isNotPolled) {
+  follower_.Tick(TimeMs(0), false, &actions_);
+  Store(TimeMs(5), "3", 100);
+  for (int64_t ms = 1000; ms <= 60000; ms += 1000) {
+    follower_.OnRumour(TimeMs(ms), "peer:1", true, 3, 2500, &actions_);
+    follower_.Tick(TimeMs(ms), false, &actions_);
+  }
+  LONGS_EQUAL(1, Count<PlatformCall>());
+  LONGS_EQUAL(2500, follower_.VersionAgeMs(TimeMs(60000)));
+}
+
+TEST(config_follower, versionNoLongerConfirmed_isPolledAtTheSettingsPeriod) {
+  int64_t poll_ms = ConfigFollowerSettings().poll_ms;
+  follower_.Tick(TimeMs(0), false, &actions_);
+  Store(TimeMs(0), "3", 100);
+  // Peers live, but nobody has reached the store since: their knowledge ages.
+  for (int64_t ms = 500; ms < poll_ms; ms += 500) {
+    follower_.OnRumour(TimeMs(ms), "peer:1", true, 3, ms, &actions_);
+    follower_.Tick(TimeMs(ms), false, &actions_);
+  }
+  LONGS_EQUAL(1, Count<PlatformCall>());
+  follower_.OnRumour(TimeMs(poll_ms), "peer:1", true, 3, poll_ms, &actions_);
+  follower_.Tick(TimeMs(poll_ms), false, &actions_);
+  LONGS_EQUAL(2, Count<PlatformCall>());
+  CHECK(LastCall()->stale_ok);
+  Store(TimeMs(poll_ms), "3", 100);
+  follower_.Tick(TimeMs(2 * poll_ms - 50), false, &actions_);
+  LONGS_EQUAL(2, Count<PlatformCall>());
+  follower_.Tick(TimeMs(2 * poll_ms), false, &actions_);
+  LONGS_EQUAL(3, Count<PlatformCall>());
+}
+
+TEST(config_follower, staleRead_confirmsNothing) {
+  int64_t poll_ms = ConfigFollowerSettings().poll_ms;
+  follower_.Tick(TimeMs(0), false, &actions_);
+  Store(TimeMs(0), "3", 100);
+  follower_.Tick(TimeMs(poll_ms), false, &actions_);
+  CHECK(LastCall()->stale_ok);
+  Store(TimeMs(poll_ms), "3", 100);
+  LONGS_EQUAL(poll_ms, follower_.VersionAgeMs(TimeMs(poll_ms)));
+}
+
+TEST(config_follower, confirmationOfAnOlderVersion_isIgnored) {
+  follower_.Tick(TimeMs(0), false, &actions_);
+  Store(TimeMs(0), "3", 100);
+  follower_.OnRumour(TimeMs(4000), "peer:1", true, 2, 0, &actions_);
+  LONGS_EQUAL(4000, follower_.VersionAgeMs(TimeMs(4000)));
+}
+
 TEST(config_follower, rumourOfANewerVersion_isPulledOnce) {
-  follower_.OnRumour(TimeMs(0), "peer:1", true, 9, &actions_);
-  follower_.OnRumour(TimeMs(1), "peer:2", true, 9, &actions_);
+  follower_.OnRumour(TimeMs(0), "peer:1", true, 9, -1, &actions_);
+  follower_.OnRumour(TimeMs(1), "peer:2", true, 9, -1, &actions_);
   LONGS_EQUAL(1, Count<PullDocument>());
   follower_.OnDocument(DocumentReply{9, Pack("9")}, &actions_);
   LONGS_EQUAL(9, follower_.Version());
-  follower_.OnRumour(TimeMs(10), "peer:1", true, 9, &actions_);
+  follower_.OnRumour(TimeMs(10), "peer:1", true, 9, -1, &actions_);
   LONGS_EQUAL(1, Count<PullDocument>());
 }
 
 TEST(config_follower, pullUnanswered_isTriedAtAnotherPeer) {
-  follower_.OnRumour(TimeMs(0), "peer:1", true, 9, &actions_);
+  follower_.OnRumour(TimeMs(0), "peer:1", true, 9, -1, &actions_);
   follower_.Tick(TimeMs(1000), false, &actions_);
-  follower_.OnRumour(TimeMs(1001), "peer:2", true, 9, &actions_);
+  follower_.OnRumour(TimeMs(1001), "peer:2", true, 9, -1, &actions_);
   LONGS_EQUAL(2, Count<PullDocument>());
 }
 
@@ -147,9 +196,9 @@
 /// The load: a long document at short intervals over slow links. A zone fetches
 /// it once, and its members have it from each other.
 TEST(config_follower, rumourFromAnotherZone_isLeftToTheOwnZoneFirst) {
-  follower_.OnRumour(TimeMs(0), "far:1", false, 9, &actions_);
+  follower_.OnRumour(TimeMs(0), "far:1", false, 9, -1, &actions_);
   LONGS_EQUAL(0, Count<PullDocument>());
-  follower_.OnRumour(TimeMs(100), "peer:1", true, 9, &actions_);
+  follower_.OnRumour(TimeMs(100), "peer:1", true, 9, -1, &actions_);
   LONGS_EQUAL(1, Count<PullDocument>());
   follower_.OnDocument(DocumentReply{9, Pack("9")}, &actions_);
   follower_.Tick(TimeMs(5000), false, &actions_);
@@ -158,8 +207,8 @@
 
 TEST(config_follower, rumourFromAnotherZoneOnly_isPulledThereAfterAWhile) {
   ConfigFollowerSettings settings;
-  follower_.OnRumour(TimeMs(0), "far:1", false, 8, &actions_);
-  follower_.OnRumour(TimeMs(50), "far:2", false, 9, &actions_);
+  follower_.OnRumour(TimeMs(0), "far:1", false, 8, -1, &actions_);
+  follower_.OnRumour(TimeMs(50), "far:2", false, 9, -1, &actions_);
   follower_.Tick(TimeMs(settings.far_pull_wait_ms - 1), false, &actions_);
   LONGS_EQUAL(0, Count<PullDocument>());
   follower_.Tick(TimeMs(2 * settings.far_pull_wait_ms), false, &actions_);
--- a/tests/link_test.cc
+++ b/tests/link_test.cc
@@ -192,8 +192,10 @@
   Datagram datagram;
   datagram.from = 5;
   datagram.version = 3;
+  datagram.version_age_ms = 1250;
   std::string bytes = EncodeDatagram(datagram, kSecret);
   CHECK_EQUAL(3U, ValueOf(DecodeDatagram(bytes, kSecret))->version);
+  CHECK_EQUAL(1250, ValueOf(DecodeDatagram(bytes, kSecret))->version_age_ms);
   CHECK(ErrorOf(DecodeDatagram(bytes, "another secret")) != nullptr);
   bytes[40] = static_cast<char>(bytes[40] ^ 1);
   CHECK(ErrorOf(DecodeDatagram(bytes, kSecret)) != nullptr);
