--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -5,7 +5,7 @@
 
 PACKAGES="g++ cmake ninja-build ccache clang clang-format clang-tidy libclang-rt-14-dev pkg-config \
 libboost-dev libboost-program-options-dev libwebsocketpp-dev prometheus-cpp-dev libfmt-dev \
-libcpputest-dev librapidcheck-dev libxxhash-dev nlohmann-json3-dev libtomlplusplus-dev libssl-dev zlib1g-dev spin gcc curl ca-certificates"
+libcpputest-dev librapidcheck-dev libxxhash-dev nlohmann-json3-dev libtomlplusplus-dev libsodium-dev zlib1g-dev spin gcc curl ca-certificates"
 
 # Installs what the build and the tests need, if anything of it is missing.
 install_packages() {
