A fleet that never rests watches; herds spread their first reads; requests wait for the first version

Cause 1: two members of a zone watch the store, but a view of the zone counted only once no member had joined for 1.5 s. During a rollout somebody joins all the time, and nobody watched; the polls hid it. Change: a view counts 2.5 s after the daemon's start in any case. mesh_node/membersJoinAllTheTime* fails first. Cause 2: after the loss of all power 90 daemons read 330 KB each at once; most had it after .7 s, and 530 requests were refused meanwhile, to return together. Change: the meeting place tells members and document length; first reads are spread over what the own link and the store need, peers' packed copies come first; requests wait up to 300 ms for the first version; pauses asked of clients are spread. While the store is empty it is read once a second, not each 150 ms.

--- a/banyanloft/daemon/metrics_page.cc
+++ b/banyanloft/daemon/metrics_page.cc
@@ -100,6 +100,8 @@
        "Reads of the meeting place that failed"},
       {"store_calls_total", "", "Calls to the platform's store"},
       {"own_pauses_total", "", "Suspensions of this process noticed"},
+      {"held_requests_total", "outcome",
+       "Requests held at the start until a version came"},
       {"peers_silent_total", "", "Peers that showed no sign for a while"},
       {"peer_messages_unexpected_total", "",
        "Messages of peers that this kind of daemon does not serve"},
--- a/banyanloft/daemon/node.cc
+++ b/banyanloft/daemon/node.cc
@@ -175,7 +175,8 @@
                       Actions* actions) {
   if (meeting_place_.Awaits(reply)) {
     std::optional<PlatformCall> write =
-        meeting_place_.OnReply(reply, Watching(now), &membership_);
+        // What a start reads here are a head and a manifest: no load to tell.
+        meeting_place_.OnReply(reply, Watching(now), 0, &membership_);
     if (write) CallPlatform(std::move(*write), actions);
     return;
   }
@@ -355,7 +356,7 @@
 
 bool Node::Watching(TimeMs now) const {
   // While the fleet starts, everyone is the first of a zone in its own view.
-  if (now < watch_from_ || !membership_.Quiet(now)) return false;
+  if (now < watch_from_ || !membership_.Settled(now)) return false;
   return WatchesForZone(membership_, settings_.zone, id_,
                         settings_.watchers_per_zone);
 }
--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -54,6 +54,8 @@
     {"instance_started", "it started anew"},
     {"link_lost", "the link to a peer ended"},
     {"own_pause", "this process was suspended; for how long"},
+    {"request_held",
+     "the daemon has just started and waits for its first version"},
     {"request_abandoned", "its client left; target and time so far"},
     {"request_answered", "answered by a backend server (level debug)"},
     {"request_failed", "answered with an error kind; what decided it"},
--- a/banyanloft/membership/meeting_place.cc
+++ b/banyanloft/membership/meeting_place.cc
@@ -34,6 +34,7 @@
 
 std::optional<PlatformCall> MeetingPlace::OnReply(const PlatformReply& reply,
                                                   bool watching,
+                                                  size_t document_bytes,
                                                   Membership* membership) {
   call_ = 0;
   if (reply.error) {
@@ -48,8 +49,9 @@
   membership->Meet(rendezvous_.OnRead(entries));
 
   ZoneAddresses zone = AddressesOfZone(*membership, zone_);
+  HerdLoad load{membership->AliveCount(), document_bytes};
   std::optional<Rendezvous::Write> write =
-      rendezvous_.WriteDue(watching, zone.live, zone.dead);
+      rendezvous_.WriteDue(watching, zone.live, zone.dead, load);
   if (!write) return std::nullopt;
   PlatformCall call;
   call.type = PlatformCall::Type::kWrite;
--- a/banyanloft/membership/meeting_place.h
+++ b/banyanloft/membership/meeting_place.h
@@ -33,9 +33,12 @@
     return call_ != 0 && reply.id == call_;
   }
   /// The read was answered. Returns the write that is due then; nobody waits
-  /// for its answer.
+  /// for its answer. `document_bytes`: length of the configuration in force.
   std::optional<PlatformCall> OnReply(const PlatformReply& reply, bool watching,
+                                      size_t document_bytes,
                                       Membership* membership);
+  /// The load of a herd that starts, as told at the last read.
+  const HerdLoad& Load() const { return rendezvous_.Load(); }
 
  private:
   int64_t timeout_ms_;
--- a/banyanloft/membership/membership.cc
+++ b/banyanloft/membership/membership.cc
@@ -35,6 +35,7 @@
       self_(std::move(self)),
       random_(seed),
       listener_(listener),
+      start_(now),
       newest_member_(now),
       last_tick_(now),
       next_probe_(now + static_cast<int64_t>(random_.Below(
--- a/banyanloft/membership/membership.h
+++ b/banyanloft/membership/membership.h
@@ -40,6 +40,10 @@
       1000;  ///< A gap between ticks that counts as own pause, in ms.
   int64_t quiet_ms =
       1500;  ///< Time without a new member that makes a view usable, in ms.
+  /// This long after its start a daemon's view is usable in any case, in ms:
+  /// the time without news, and one second in which a fleet that starts
+  /// together has met. Where members join all the time it is never quiet.
+  int64_t settled_ms = 2500;
   int max_awareness = 8;  ///< Highest local health factor.
 };
 
@@ -98,10 +102,11 @@
                                     size_t count) const;
   /// Strikes to be spread with the next news.
   void SpreadStrikes(const std::vector<CrashStrike>& strikes);
-  /// True once no new member has been heard of for a while: the view is good
-  /// enough to choose members by.
-  bool Quiet(TimeMs now) const {
-    return now - newest_member_ >= settings_.quiet_ms;
+  /// True once no new member has been heard of for a while, or this daemon has
+  /// run for long: the view is good enough to choose members by.
+  bool Settled(TimeMs now) const {
+    return now - newest_member_ >= settings_.quiet_ms ||
+           now - start_ >= settings_.settled_ms;
   }
   /// Local health factor: 0 is healthy.
   int Awareness() const { return awareness_; }
@@ -188,6 +193,7 @@
   bool joined_ = false;   ///< Some comparison of tables found no difference.
   bool settled_ = false;  ///< The last one did.
   int awareness_ = 0;
+  TimeMs start_;
   TimeMs newest_member_;
   TimeMs last_tick_;
   TimeMs next_probe_;
--- a/banyanloft/membership/rendezvous.cc
+++ b/banyanloft/membership/rendezvous.cc
@@ -11,9 +11,8 @@
   return std::find(list.begin(), list.end(), item) != list.end();
 }
 
-std::vector<std::string> AddressesOf(const std::string& value) {
+std::vector<std::string> AddressesOf(const Json& json) {
   std::vector<std::string> out;
-  Json json = ParseJson(value);
   JsonReader fields(json);
   const Json* list = fields.Find("gossip");
   if (list == nullptr || !list->is_array()) return out;
@@ -23,6 +22,22 @@
   return out;
 }
 
+size_t SizeField(const Json& json, const char* name) {
+  JsonReader fields(json);
+  const Json* value = fields.Find(name);
+  bool sound = value != nullptr && value->is_number_unsigned();
+  return sound ? value->get<size_t>() : 0;
+}
+
+HerdLoad LoadOf(const Json& json) {
+  return {SizeField(json, "members"), SizeField(json, "document_bytes")};
+}
+
+/// More than the double or less than the half: worth a write.
+bool Differs(size_t listed, size_t now) {
+  return now > 2 * listed || listed > 2 * now;
+}
+
 }  // namespace
 
 Rendezvous::Rendezvous(const RendezvousSettings& settings, std::string zone,
@@ -50,19 +65,25 @@
   fresh_ = true;
   revision_ = 0;
   listed_.clear();
+  listed_load_ = load_ = HerdLoad{};
   for (const Entry& entry : entries) {
-    std::vector<std::string> addresses = AddressesOf(entry.value);
+    Json json = ParseJson(entry.value);
+    std::vector<std::string> addresses = AddressesOf(json);
+    HerdLoad load = LoadOf(json);
+    load_.members = std::max(load_.members, load.members);
+    load_.document_bytes = std::max(load_.document_bytes, load.document_bytes);
     all.insert(all.end(), addresses.begin(), addresses.end());
     if (entry.zone != zone_) continue;
     revision_ = entry.revision;
     listed_ = std::move(addresses);
+    listed_load_ = load;
   }
   return all;
 }
 
 std::optional<Rendezvous::Write> Rendezvous::WriteDue(
     bool watching, const std::vector<std::string>& live,
-    const std::vector<std::string>& dead) {
+    const std::vector<std::string>& dead, const HerdLoad& load) {
   if (!fresh_ || !watching) return std::nullopt;
   fresh_ = false;
 
@@ -84,8 +105,13 @@
     changed = true;
   }
   if (next.size() > settings_.addresses) next.resize(settings_.addresses);
+  changed = changed || Differs(listed_load_.members, load.members) ||
+            Differs(listed_load_.document_bytes, load.document_bytes);
   if (!changed) return std::nullopt;
-  return Write{Json{{"gossip", next}}.dump(), revision_};
+  Json value{{"gossip", next},
+             {"members", load.members},
+             {"document_bytes", load.document_bytes}};
+  return Write{value.dump(), revision_};
 }
 
 void Rendezvous::OnFailure() { fresh_ = false; }
--- a/banyanloft/membership/rendezvous.h
+++ b/banyanloft/membership/rendezvous.h
@@ -23,6 +23,12 @@
   int64_t timeout_ms = 3000;  ///< Wait for an answer, in ms.
 };
 
+/// What a herd of daemons that starts together would ask of the store.
+struct HerdLoad {
+  size_t members = 0;         ///< Daemons of the fleet.
+  size_t document_bytes = 0;  ///< Length of the configuration.
+};
+
 /// Keeps a bounded sample of live addresses per zone in the platform, so that
 /// daemons start without a list of peers and separate islands find each other.
 /// Reads are made by lonely daemons and by watching members only.
@@ -48,11 +54,15 @@
   bool ReadDue(TimeMs now, bool lonely, bool watching);
   /// The objects were read. Returns the addresses in them.
   std::vector<std::string> OnRead(const std::vector<Entry>& entries);
-  /// What to write after a read, if the zone's object lacks live addresses.
-  /// `live` are live addresses of the zone, `dead` those known to be gone.
+  /// What to write after a read, if the zone's object lacks live addresses or
+  /// tells another load. `live` are live addresses of the zone, `dead` those
+  /// known to be gone.
   std::optional<Write> WriteDue(bool watching,
                                 const std::vector<std::string>& live,
-                                const std::vector<std::string>& dead);
+                                const std::vector<std::string>& dead,
+                                const HerdLoad& load);
+  /// The greatest load told by any zone's object at the last read.
+  const HerdLoad& Load() const { return load_; }
   /// The read or write failed or was lost.
   void OnFailure();
 
@@ -65,6 +75,8 @@
   bool fresh_ = false;
   uint64_t revision_ = 0;
   std::vector<std::string> listed_;
+  HerdLoad listed_load_;  ///< As the zone's object tells it.
+  HerdLoad load_;
 };
 
 }  // namespace banyanloft
--- a/banyanloft/mesh/config_follower.cc
+++ b/banyanloft/mesh/config_follower.cc
@@ -15,7 +15,23 @@
 ConfigFollower::ConfigFollower(const ConfigFollowerSettings& settings,
                                uint64_t seed, TimeMs now,
                                const ConfigurationReader* reader)
-    : settings_(settings), random_(seed), reader_(reader), next_call_(now) {}
+    : settings_(settings),
+      random_(seed),
+      reader_(reader),
+      next_call_(now + settings.herd_wait_ms) {}
+
+void ConfigFollower::OnHerd(TimeMs now, const HerdLoad& load) {
+  if (herd_known_ || table_ || failures_ > 0 || call_ != Call::kNone) return;
+  herd_known_ = true;
+  int64_t bytes = static_cast<int64_t>(load.document_bytes);
+  int64_t own_ms = bytes / settings_.link_bytes_per_ms;
+  int64_t all_ms =
+      bytes * static_cast<int64_t>(load.members) / settings_.store_bytes_per_ms;
+  all_ms = std::min(all_ms, settings_.herd_delay_max_ms);
+  int64_t share_ms =
+      static_cast<int64_t>(random_.Below(static_cast<uint64_t>(all_ms) + 1));
+  next_call_ = now + std::min(own_ms + share_ms, settings_.herd_delay_max_ms);
+}
 
 void ConfigFollower::Tick(TimeMs now, bool watching, Actions* actions) {
   if (pull_version_ != 0 && now >= pull_deadline_) pull_version_ = 0;
@@ -37,8 +53,10 @@
 
 bool ConfigFollower::CallDue(TimeMs now, bool watching) const {
   // Whoever becomes a watcher does not wait for its next poll.
-  if (watching && failures_ == 0) return true;
+  if (watching && failures_ == 0 && table_) return true;
   if (now < next_call_) return false;
+  // A peer is sending the first version.
+  if (!table_ && pull_version_ != 0) return false;
   bool polls = !watching && table_ && failures_ == 0;
   return !polls || !confirmed_at_ || now - *confirmed_at_ >= settings_.poll_ms;
 }
@@ -109,8 +127,12 @@
     if (object.key == settings_.key)
       Consider(object.value, "", was_watch ? "watch" : "read", actions);
   }
-  // Nothing has been written yet: look again soon.
-  if (!table_) next_call_ = now + settings_.backoff_ms;
+  // Nothing has been written yet. The first member that sees it tells all.
+  if (!table_) {
+    uint64_t spread_ms = static_cast<uint64_t>(settings_.empty_poll_ms);
+    next_call_ = now + settings_.empty_poll_ms / 2 +
+                 static_cast<int64_t>(random_.Below(spread_ms));
+  }
 }
 
 void ConfigFollower::OnRumour(TimeMs now, const std::string& link, bool near,
@@ -121,7 +143,8 @@
     confirmed_at_ = now + -age_ms;
   bool newer = version > Version() && version > pull_version_;
   if (!newer || link.empty()) return;
-  if (near) return Pull(now, link, version, actions);
+  // Without any version nothing is served: bytes between zones matter less.
+  if (near || !table_) return Pull(now, link, version, actions);
   if (version <= far_version_) return;
   if (far_version_ == 0) {
     int64_t jitter_ms = static_cast<int64_t>(
@@ -207,6 +230,7 @@
   table_ = table;
   packed_ = std::move(packed);
   text_hash_ = hash;
+  text_bytes_ = text.size();
   counters_.Add("config_adopted_total", source);
   actions->push_back(TableAdopted{std::move(table)});
 }
--- a/banyanloft/mesh/config_follower.h
+++ b/banyanloft/mesh/config_follower.h
@@ -10,6 +10,7 @@
 #include "banyanloft/core/log.h"
 #include "banyanloft/core/random.h"
 #include "banyanloft/core/time.h"
+#include "banyanloft/membership/rendezvous.h"
 #include "banyanloft/mesh/mesh_message.h"
 #include "banyanloft/mesh/route_table.h"
 #include "banyanloft/store/platform_message.h"
@@ -38,6 +39,10 @@
   /// and costs little. A watch that answers and the rumours of it take about
   /// four seconds at most, so a healthy fleet does not poll.
   int64_t poll_ms = 5000;
+  /// While the store holds no document, each member reads this often on
+  /// average, in ms. One that is alone still has it within the two seconds in
+  /// which versions come in force.
+  int64_t empty_poll_ms = 1000;
   int64_t backoff_ms = 150;       ///< First pause after a failure, in ms.
   int64_t backoff_cap_ms = 1500;  ///< Longest pause after failures, in ms.
   int64_t pull_timeout_ms = 400;  ///< Wait for a peer's document, in ms.
@@ -45,6 +50,15 @@
   /// watchers before it is pulled from there, in ms: a few gossip rounds. Each
   /// member waits up to as long again, so that one of them fetches it for all.
   int64_t far_pull_wait_ms = 300;
+  /// The first read waits this long at most for the load of the herd, in ms.
+  int64_t herd_wait_ms = 150;
+  /// What this instance's link and the store's carry, in bytes a ms: 1 Gbit/s
+  /// each unless the settings tell another.
+  int64_t link_bytes_per_ms = 125000;
+  int64_t store_bytes_per_ms = 125000;
+  /// A first read is put off by this at most, in ms: the other members that
+  /// are counted on may not start.
+  int64_t herd_delay_max_ms = 1500;
   size_t max_document_bytes = 32 << 20;  ///< Longest document from a peer.
 };
 
@@ -73,6 +87,12 @@
 
   /// The store answered the call under way.
   void OnStore(TimeMs now, const PlatformReply& reply, Actions* actions);
+  /// The load of a herd that starts together is known. Puts the first read off
+  /// by the time that its answer would take on this instance's link, and at
+  /// random over the time that the store needs for all: by then members with
+  /// faster links have the document and tell the others, to whom it goes
+  /// packed.
+  void OnHerd(TimeMs now, const HerdLoad& load);
   /// A peer has a version in force. `near`: it is in the same zone. `age_ms`:
   /// how long ago the store held nothing newer, as the peer knows; negative:
   /// not known.
@@ -88,6 +108,8 @@
 
   uint64_t Version() const { return table_ ? table_->Version() : 0; }
   const RouteTablePtr& Table() const { return table_; }
+  /// Length of the document in force, as the store holds it.
+  size_t DocumentBytes() const { return text_bytes_; }
   /// How long ago the store is known to have held nothing newer than the
   /// version in force, in ms; negative: not known.
   int64_t VersionAgeMs(TimeMs now) const {
@@ -114,11 +136,13 @@
   RouteTablePtr table_;
   std::string packed_;         ///< The document in force, as peers get it.
   uint64_t text_hash_ = 0;     ///< Of the document in force.
+  size_t text_bytes_ = 0;      ///< The same.
   uint64_t refused_hash_ = 0;  ///< Of the last one that could not be read.
   uint64_t revision_ = 0;      ///< Of the store, as of the last answer.
   Call call_ = Call::kNone;
   TimeMs call_deadline_;
   TimeMs next_call_;
+  bool herd_known_ = false;
   /// When the store is last known to have held nothing newer: by an answer
   /// that was not out of date, here or at the peers who spread it.
   std::optional<TimeMs> confirmed_at_;
--- a/banyanloft/mesh/forwarder.cc
+++ b/banyanloft/mesh/forwarder.cc
@@ -30,24 +30,25 @@
 void Forwarder::OnRequest(TimeMs now, uint64_t id, MeshRequest request,
                           Actions* actions) {
   if (!table_) {
-    return Refuse(id, ErrorKind::kNotReady, settings_.not_ready_retry_ms,
-                  request.request_id, actions);
+    return RefuseNotReady(id, request.request_id, actions);
   }
   const HttpRoute* route = table_->Match(request.host, request.target);
   if (route == nullptr) {
     return Refuse(id, ErrorKind::kUnknownRoute, 0, request.request_id, actions);
   }
   if (requests_.size() >= settings_.max_requests) {
-    return Refuse(id, ErrorKind::kQueueFull, settings_.no_target_retry_ms,
+    return Refuse(id, ErrorKind::kQueueFull,
+                  SpreadPauseMs(settings_.no_target_retry_ms),
                   request.request_id, actions);
   }
   Pending& pending = requests_[id];
   pending.table = table_;
   pending.route = route;
-  pending.arrived = now;
-  pending.deadline = now + route->timeout_ms;
+  pending.arrived = now - request.held_ms;
+  pending.deadline = pending.arrived + route->timeout_ms;
   if (request.wait_ms > 0) {
-    TimeMs client = now + request.wait_ms - settings_.answer_margin_ms;
+    TimeMs client =
+        pending.arrived + request.wait_ms - settings_.answer_margin_ms;
     pending.deadline = std::min(pending.deadline, client);
   }
   pending.service = splitter_.Next(*route);
@@ -267,7 +268,7 @@
   if (not_run) {
     answer.retry_after_ms = pending.retry_after_ms > 0
                                 ? pending.retry_after_ms
-                                : settings_.no_target_retry_ms;
+                                : SpreadPauseMs(settings_.no_target_retry_ms);
   }
   counters_.Add("forward_failures_total", std::string(NameOf(error)));
   LogRecord record{LogLevel::kWarning,
@@ -313,6 +314,18 @@
   requests_.erase(it);
 }
 
+void Forwarder::RefuseNotReady(uint64_t id, const std::string& request_id,
+                               Actions* actions) {
+  Refuse(id, ErrorKind::kNotReady, SpreadPauseMs(settings_.not_ready_retry_ms),
+         request_id, actions);
+}
+
+/// Clients that were refused together must not return together.
+int64_t Forwarder::SpreadPauseMs(int64_t mean_ms) {
+  return mean_ms / 2 +
+         static_cast<int64_t>(random_.Below(static_cast<uint64_t>(mean_ms)));
+}
+
 /// Refuses a request that never came into hand.
 void Forwarder::Refuse(uint64_t id, ErrorKind error, int64_t retry_after_ms,
                        const std::string& request_id, Actions* actions) {
--- a/banyanloft/mesh/forwarder.h
+++ b/banyanloft/mesh/forwarder.h
@@ -39,7 +39,8 @@
   /// Time kept back from a client's deadline for the way of the answer, in ms.
   int64_t answer_margin_ms = 10;
   /// Pause asked of clients while no target is known, in ms: the time in which
-  /// membership spreads a new target.
+  /// membership spreads a new target. On average; between a half and one and a
+  /// half of it is told.
   int64_t no_target_retry_ms = 400;
   int64_t not_ready_retry_ms = 500;  ///< The same while no version is known.
   size_t max_requests = 20000;       ///< Most requests in hand.
@@ -92,6 +93,9 @@
   /// Refuses a client's request that does not come into hand.
   void Refuse(uint64_t id, ErrorKind error, int64_t retry_after_ms,
               const std::string& request_id, Actions* actions);
+  /// Refuses a client's request since no version is known yet.
+  void RefuseNotReady(uint64_t id, const std::string& request_id,
+                      Actions* actions);
   /// The client went away.
   void OnAbandoned(TimeMs now, uint64_t id, Actions* actions);
   /// An attempt was answered by a member's daemon.
@@ -155,6 +159,7 @@
   void OnUnknown(TimeMs now, uint64_t id, ErrorKind error, Actions* actions);
   bool MayRepeat(TimeMs now, const Pending& pending, const char* reason,
                  int64_t share_permille);
+  int64_t SpreadPauseMs(int64_t mean_ms);
   void OfferAgain(TimeMs now, uint64_t id, Actions* actions);
   void Fail(TimeMs now, uint64_t id, ErrorKind error, Actions* actions);
   void Finish(TimeMs now, uint64_t id, MeshAnswer answer, Actions* actions);
--- a/banyanloft/mesh/mesh_message.h
+++ b/banyanloft/mesh/mesh_message.h
@@ -24,6 +24,7 @@
 struct MeshRequest {
   std::string request_id;  ///< Unique for each attempt of a client.
   int64_t wait_ms = 0;     ///< Time that the client waits, in ms; 0: not told.
+  int64_t held_ms = 0;     ///< Part of it already spent in this daemon, in ms.
   std::string method;
   std::string host;
   std::string target;   ///< Path and query.
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -58,6 +58,7 @@
       watch_from_(now +
                   WatchDelayMs(settings.start_window_ms,
                                SeedOf(settings.seed, SeedStream::kWatchDelay))),
+      hold_(settings.start_hold, now),
       membership_(settings.membership,
                   NewMember(id, settings.zone, settings.link_address,
                             settings.gossip_address),
@@ -79,13 +80,52 @@
   if (ending) {
     forwarder_.Refuse(request, ErrorKind::kDraining, kMinRetryAfterMs,
                       message.request_id, &list);
-  } else {
+  } else if (config_.Table() || !Hold(now, request, &message, actions)) {
     forwarder_.OnRequest(now, request, std::move(message), &list);
   }
   CarryForwarder(now, std::move(list), actions);
 }
 
+bool MeshNode::Hold(TimeMs now, uint64_t request, MeshRequest* message,
+                    Actions* actions) {
+  std::string id = message->request_id;
+  if (!hold_.Hold(now, request, message)) return false;
+  actions->push_back(
+      LogRecord{LogLevel::kInfo,
+                "request_held",
+                {{"request", std::move(id)},
+                 {"version", "none"},
+                 {"since_start_ms", std::to_string(now - start_)}}});
+  return true;
+}
+
+/// The first version came: requests that waited for it go on.
+void MeshNode::ReleaseHeld(TimeMs now, Actions* actions) {
+  for (StartHold::Held& held : hold_.TakeAll(now)) {
+    counters_.Add("held_requests_total", "released");
+    OnRequest(now, held.id, std::move(held.request), actions);
+  }
+}
+
+void MeshNode::RefuseLongHeld(TimeMs now, Actions* actions) {
+  Forwarder::Actions list;
+  for (const StartHold::Held& held : hold_.TakeExpired(now)) {
+    counters_.Add("held_requests_total", "refused");
+    forwarder_.RefuseNotReady(held.id, held.request.request_id, &list);
+  }
+  CarryForwarder(now, std::move(list), actions);
+}
+
 void MeshNode::OnAbandoned(TimeMs now, uint64_t request, Actions* actions) {
+  if (std::optional<MeshRequest> held = hold_.Abandon(request)) {
+    counters_.Add("held_requests_total", "abandoned");
+    actions->push_back(LogRecord{LogLevel::kInfo,
+                                 "request_abandoned",
+                                 {{"request", held->request_id},
+                                  {"route", "none"},
+                                  {"version", "none"}}});
+    return;
+  }
   Forwarder::Actions list;
   forwarder_.OnAbandoned(now, request, &list);
   CarryForwarder(now, std::move(list), actions);
@@ -166,8 +206,9 @@
                        Actions* actions) {
   if (meeting_place_.Awaits(reply)) {
     if (reply.error) counters_.Add("rendezvous_failures_total");
-    std::optional<PlatformCall> write =
-        meeting_place_.OnReply(reply, Watching(now), &membership_);
+    std::optional<PlatformCall> write = meeting_place_.OnReply(
+        reply, Watching(now), config_.DocumentBytes(), &membership_);
+    if (!reply.error) config_.OnHerd(now, meeting_place_.Load());
     if (write) CallStore(std::move(*write), actions);
     return;
   }
@@ -255,6 +296,7 @@
 
 void MeshNode::Tick(TimeMs now, Actions* actions) {
   Forwarder::Actions requests;
+  if (hold_.Count() > 0) RefuseLongHeld(now, actions);
   forwarder_.SetMembers(membership_.AliveCount());
   forwarder_.Tick(now, &requests);
   CarryForwarder(now, std::move(requests), actions);
@@ -310,7 +352,7 @@
 
 bool MeshNode::Watching(TimeMs now) const {
   // While the fleet starts, everyone is the first of a zone in its own view.
-  if (now < watch_from_ || !membership_.Quiet(now)) return false;
+  if (now < watch_from_ || !membership_.Settled(now)) return false;
   return WatchesForZone(membership_, settings_.zone, id_,
                         settings_.watchers_per_zone);
 }
@@ -389,6 +431,7 @@
       actions->push_back(SendPeer{pull->link, kFirstRank, pull->request});
     } else if (auto* adopted = std::get_if<TableAdopted>(&action)) {
       forwarder_.SetTable(std::move(adopted->table));
+      ReleaseHeld(now, actions);
       SendRumours(now, actions);
       repeat_rumour_ = true;
       repeat_rumour_at_ = now + settings_.rumour_repeat_ms;
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -13,6 +13,7 @@
 #include "banyanloft/mesh/backend_runner.h"
 #include "banyanloft/mesh/config_follower.h"
 #include "banyanloft/mesh/forwarder.h"
+#include "banyanloft/mesh/start_hold.h"
 #include "banyanloft/store/platform_message.h"
 
 namespace banyanloft {
@@ -45,6 +46,7 @@
   int64_t rumour_repeat_ms = 200;  ///< A new version is told twice, in ms.
   MembershipSettings membership;
   RendezvousSettings rendezvous;
+  StartHoldSettings start_hold;
   ConfigFollowerSettings config;
   ForwarderSettings forwarder;
   BackendRunnerSettings runner;
@@ -126,6 +128,11 @@
   void UpdateStanding(TimeMs now);
   void TickDrain(TimeMs now, Actions* actions);
   void GiveBackWaiting(TimeMs now, Actions* actions);
+  /// Keeps a request until the first version comes. False: it cannot wait.
+  bool Hold(TimeMs now, uint64_t request, MeshRequest* message,
+            Actions* actions);
+  void ReleaseHeld(TimeMs now, Actions* actions);
+  void RefuseLongHeld(TimeMs now, Actions* actions);
   bool Watching(TimeMs now) const;
   uint64_t CallStore(PlatformCall call, Actions* actions);
   std::string LinkOf(MemberId id) const;
@@ -134,6 +141,7 @@
   MemberId id_;
   TimeMs start_;
   TimeMs watch_from_;
+  StartHold hold_;
   Membership membership_;
   MeetingPlace meeting_place_;
   ConfigFollower config_;
--- a/tests/config_follower_test.cc
+++ b/tests/config_follower_test.cc
@@ -21,11 +21,18 @@
   }
 };
 
+/// No herd to wait for: the first read is made at once.
+ConfigFollowerSettings SettingsOfAFleetThatRuns() {
+  ConfigFollowerSettings settings;
+  settings.herd_wait_ms = 0;
+  return settings;
+}
+
 }  // namespace
 
 TEST_GROUP(config_follower) {
   NumberReader reader_;
-  ConfigFollower follower_{ConfigFollowerSettings(), 4, TimeMs(0), &reader_};
+  ConfigFollower follower_{SettingsOfAFleetThatRuns(), 4, TimeMs(0), &reader_};
   ConfigFollower::Actions actions_;
 
   const PlatformCall* LastCall() {
@@ -63,6 +70,19 @@
   LONGS_EQUAL(3, follower_.Version());
 }
 
+/// The load: a fleet starts before its operators have written anything.
+TEST(config_follower, nothingWrittenYet_isReadOnceASecondAtRandom) {
+  constexpr int64_t kSpanMs = 20000;
+  for (TimeMs now(0); now < TimeMs(kSpanMs); now = now + 10) {
+    size_t before = Count<PlatformCall>();
+    follower_.Tick(now, false, &actions_);
+    if (Count<PlatformCall>() > before) Store(now + 4, "", 100);
+  }
+  size_t reads = Count<PlatformCall>();
+  CHECK(reads >= 14);
+  CHECK(reads <= 26);
+}
+
 TEST(config_follower, watcher_watchesOnFromTheRevision) {
   follower_.Tick(TimeMs(0), true, &actions_);
   Store(TimeMs(5), "3", 100);
@@ -196,6 +216,7 @@
 /// The load: a long document at short intervals over slow links. A zone fetches
 /// it once, and its members have it from each other.
 TEST(config_follower, rumourFromAnotherZone_isLeftToTheOwnZoneFirst) {
+  follower_.OnDocument(DocumentReply{3, Pack("3")}, &actions_);
   follower_.OnRumour(TimeMs(0), "far:1", false, 9, -1, &actions_);
   LONGS_EQUAL(0, Count<PullDocument>());
   follower_.OnRumour(TimeMs(100), "peer:1", true, 9, -1, &actions_);
@@ -206,6 +227,7 @@
 }
 
 TEST(config_follower, rumourFromAnotherZoneOnly_isPulledThereAfterAWhile) {
+  follower_.OnDocument(DocumentReply{3, Pack("3")}, &actions_);
   ConfigFollowerSettings settings;
   follower_.OnRumour(TimeMs(0), "far:1", false, 8, -1, &actions_);
   follower_.OnRumour(TimeMs(50), "far:2", false, 9, -1, &actions_);
--- /dev/null
+++ b/tests/herd_start_test.cc
@@ -0,0 +1,195 @@
+#include <CppUTest/TestHarness.h>
+
+#include "banyanloft/core/compress.h"
+#include "banyanloft/membership/rendezvous.h"
+#include "banyanloft/mesh/config_follower.h"
+#include "banyanloft/mesh/start_hold.h"
+
+using namespace banyanloft;
+
+namespace {
+
+constexpr int64_t kTickMs = 10;
+
+/// A document is the number of its version and padding.
+class NumberReader final : public ConfigurationReader {
+ public:
+  Result<RouteConfiguration> ReadConfiguration(
+      const std::string& text) const override {
+    RouteConfiguration out;
+    out.version = std::strtoull(text.c_str(), nullptr, 10);
+    return out;
+  }
+};
+
+MeshRequest RequestOf(const std::string& id, int64_t wait_ms) {
+  MeshRequest request;
+  request.request_id = id;
+  request.wait_ms = wait_ms;
+  return request;
+}
+
+}  // namespace
+
+TEST_GROUP(herd_start) {
+  NumberReader reader_;
+
+  /// When the first read is made after the herd's load was told at 50 ms;
+  /// -1: not within ten seconds.
+  int64_t FirstReadAt(const ConfigFollowerSettings& settings, uint64_t seed,
+                      const HerdLoad& load) {
+    ConfigFollower follower(settings, seed, TimeMs(0), &reader_);
+    follower.OnHerd(TimeMs(50), load);
+    for (TimeMs now(50); now < TimeMs(10000); now = now + kTickMs) {
+      ConfigFollower::Actions actions;
+      follower.Tick(now, false, &actions);
+      if (!actions.empty()) return now.Value();
+    }
+    return -1;
+  }
+};
+
+/// The load: 90 daemons lose power together, and the document is long. Read
+/// by all at once, it takes the store a quarter of a second.
+TEST(herd_start, longDocument_readsAreSpreadOverTheTimeThatTheStoreNeeds) {
+  HerdLoad load{90, 328000};
+  ConfigFollowerSettings settings;
+  int64_t all_ms = 90 * 328000 / settings.store_bytes_per_ms;
+  int early = 0;
+  int64_t last_ms = 0;
+  for (uint64_t seed = 1; seed <= 90; ++seed) {
+    int64_t at_ms = FirstReadAt(settings, seed, load);
+    early += at_ms - 50 < all_ms / 4 ? 1 : 0;
+    last_ms = std::max(last_ms, at_ms);
+  }
+  CHECK(early >= 10);
+  CHECK(early <= 35);
+  CHECK(last_ms <= 50 + all_ms + 2 * kTickMs);
+}
+
+TEST(herd_start, slowLink_readsAfterTheFastOnes) {
+  HerdLoad load{1, 328000};
+  ConfigFollowerSettings slow;
+  slow.link_bytes_per_ms = 875;  // 7 Mbit/s.
+  CHECK(FirstReadAt(slow, 1, load) >= 50 + 328000 / 875);
+  CHECK(FirstReadAt(ConfigFollowerSettings(), 1, load) <= 50 + kTickMs);
+}
+
+TEST(herd_start, shortDocumentOrNoHerd_isReadAtOnce) {
+  for (HerdLoad load : {HerdLoad{90, 2000}, HerdLoad{1, 4000}, HerdLoad{}})
+    CHECK(FirstReadAt(ConfigFollowerSettings(), 3, load) <= 50 + kTickMs);
+}
+
+TEST(herd_start, loadNeverTold_isReadNevertheless) {
+  ConfigFollowerSettings settings;
+  ConfigFollower follower(settings, 1, TimeMs(0), &reader_);
+  ConfigFollower::Actions actions;
+  follower.Tick(TimeMs(settings.herd_wait_ms - 1), false, &actions);
+  CHECK(actions.empty());
+  follower.Tick(TimeMs(settings.herd_wait_ms), false, &actions);
+  LONGS_EQUAL(1, actions.size());
+}
+
+TEST(herd_start, hugeLoad_isReadWithinTheBound) {
+  ConfigFollowerSettings settings;
+  int64_t at_ms = FirstReadAt(settings, 5, HerdLoad{2200, 10000000});
+  CHECK(at_ms >= 0);
+  CHECK(at_ms <= 50 + settings.herd_delay_max_ms + kTickMs);
+}
+
+TEST(herd_start, peerHasAVersion_isPulledAtOnceAlsoFromAnotherZone) {
+  ConfigFollower follower(ConfigFollowerSettings(), 1, TimeMs(0), &reader_);
+  ConfigFollower::Actions actions;
+  follower.OnHerd(TimeMs(50), HerdLoad{90, 328000});
+  follower.OnRumour(TimeMs(60), "peer:1", false, 9, -1, &actions);
+  CHECK(std::holds_alternative<PullDocument>(actions.back()));
+  // No read beside the pull; after it, none is due either.
+  actions.clear();
+  follower.Tick(TimeMs(400), false, &actions);
+  CHECK(actions.empty());
+  follower.OnDocument(DocumentReply{9, Pack("9")}, &actions);
+  LONGS_EQUAL(9, follower.Version());
+}
+
+TEST(herd_start, peerDoesNotAnswer_isReadFromTheStore) {
+  ConfigFollowerSettings settings;
+  ConfigFollower follower(settings, 1, TimeMs(0), &reader_);
+  ConfigFollower::Actions actions;
+  follower.OnRumour(TimeMs(60), "peer:1", true, 9, -1, &actions);
+  actions.clear();
+  follower.Tick(TimeMs(60 + settings.pull_timeout_ms), false, &actions);
+  LONGS_EQUAL(1, actions.size());
+  CHECK(std::holds_alternative<PlatformCall>(actions.front()));
+}
+
+TEST(herd_start, meetingPlace_tellsTheLoadAndWritesWhenItDoubles) {
+  Rendezvous writer(RendezvousSettings(), "z1", "10.0.0.1:1", 1, TimeMs(0));
+  writer.OnRead({});
+  std::optional<Rendezvous::Write> write =
+      writer.WriteDue(true, {}, {}, HerdLoad{40, 20000});
+  CHECK(write.has_value());
+  std::vector<Rendezvous::Entry> entries = {{"z1", 7, write->value}};
+
+  writer.OnRead(entries);
+  CHECK(!writer.WriteDue(true, {}, {}, HerdLoad{60, 30000}).has_value());
+  writer.OnRead(entries);
+  CHECK(writer.WriteDue(true, {}, {}, HerdLoad{60, 330000}).has_value());
+
+  Rendezvous reader(RendezvousSettings(), "z2", "10.0.0.2:1", 2, TimeMs(0));
+  reader.OnRead(entries);
+  LONGS_EQUAL(40, reader.Load().members);
+  LONGS_EQUAL(20000, reader.Load().document_bytes);
+}
+
+TEST(herd_start, objectOfAnOlderDaemonOrRubbish_tellsNoLoad) {
+  Rendezvous reader(RendezvousSettings(), "z2", "10.0.0.2:1", 2, TimeMs(0));
+  std::vector<std::string> met =
+      reader.OnRead({{"z1", 7, R"({"gossip":["10.0.0.1:1"]})"},
+                     {"z3", 8, "rubbish"},
+                     {"z4", 9, R"({"members":-4,"document_bytes":"many"})"}});
+  LONGS_EQUAL(1, met.size());
+  LONGS_EQUAL(0, reader.Load().members);
+  LONGS_EQUAL(0, reader.Load().document_bytes);
+}
+
+/// The load: clients return to a daemon that has just started, before its
+/// first version is there.
+TEST(herd_start, requestBeforeTheFirstVersion_isHeldAndGoesOn) {
+  StartHold hold(StartHoldSettings(), TimeMs(0));
+  MeshRequest first = RequestOf("a", 4000);
+  MeshRequest second = RequestOf("b", 4000);
+  CHECK(hold.Hold(TimeMs(100), 1, &first));
+  CHECK(hold.Hold(TimeMs(150), 2, &second));
+  CHECK(hold.TakeExpired(TimeMs(250)).empty());
+  std::vector<StartHold::Held> all = hold.TakeAll(TimeMs(250));
+  LONGS_EQUAL(2, all.size());
+  STRCMP_EQUAL("a", all[0].request.request_id.c_str());
+  LONGS_EQUAL(150, all[0].request.held_ms);
+  LONGS_EQUAL(100, all[1].request.held_ms);
+}
+
+TEST(herd_start, versionDoesNotCome_requestIsGivenUpInTime) {
+  StartHoldSettings settings;
+  StartHold hold(settings, TimeMs(0));
+  MeshRequest patient = RequestOf("a", 0);
+  MeshRequest hasty = RequestOf("b", 400);
+  CHECK(hold.Hold(TimeMs(0), 1, &patient));
+  CHECK(hold.Hold(TimeMs(0), 2, &hasty));
+  LONGS_EQUAL(1, hold.TakeExpired(TimeMs(100)).size());
+  LONGS_EQUAL(1, hold.TakeExpired(TimeMs(settings.hold_ms)).size());
+  LONGS_EQUAL(0, hold.Count());
+}
+
+TEST(herd_start, daemonLongWithoutAVersionOrFull_holdsNothing) {
+  StartHoldSettings settings;
+  settings.max_requests = 1;
+  StartHold hold(settings, TimeMs(0));
+  MeshRequest first = RequestOf("a", 4000);
+  MeshRequest second = RequestOf("b", 4000);
+  CHECK(hold.Hold(TimeMs(0), 1, &first));
+  CHECK(!hold.Hold(TimeMs(0), 2, &second));
+  STRCMP_EQUAL("b", second.request_id.c_str());
+  CHECK(hold.Abandon(1).has_value());
+  CHECK(!hold.Abandon(1).has_value());
+  CHECK(!hold.Hold(TimeMs(settings.window_ms), 3, &second));
+}
--- a/tests/mesh_node_test.cc
+++ b/tests/mesh_node_test.cc
@@ -17,6 +17,17 @@
   }
 };
 
+/// Every document is the first version.
+class FirstVersionReader final : public ConfigurationReader {
+ public:
+  Result<RouteConfiguration> ReadConfiguration(
+      const std::string&) const override {
+    RouteConfiguration out;
+    out.version = 1;
+    return out;
+  }
+};
+
 MeshNodeSettings SettingsOfOne() {
   MeshNodeSettings settings;
   settings.zone = "z1";
@@ -95,3 +106,38 @@
     CHECK(settings.drain_give_back_ms * 100 <= max_ms * 90);
   }
 }
+
+/// The load: a rollout starts a daemon every second, so that no moment is free
+/// of news. The watch of the zone must go on nevertheless: without it, the
+/// members learn of a version by their polls only.
+TEST(mesh_node, membersJoinAllTheTime_watchOfTheStoreGoesOn) {
+  constexpr int64_t kJoinPeriodMs = 1000;
+  constexpr int64_t kSpanMs = 20000;
+  FirstVersionReader reader;
+  MeshNode node(settings_, 7, TimeMs(0), &reader);
+  int64_t watches = 0;
+  for (TimeMs now(0); now < TimeMs(kSpanMs); now = now + kTickMs) {
+    MeshNode::Actions actions;
+    if (now.Value() % kJoinPeriodMs == 0) {
+      MemberId id = 1000 + static_cast<MemberId>(now.Value());
+      std::string address = "10.0.1.1:" + std::to_string(id);
+      Datagram news;
+      news.from = id;
+      news.members.push_back(NewMember(id, settings_.zone, address, address));
+      node.OnDatagram(now, news, &actions);
+    }
+    node.Tick(now, &actions);
+    for (size_t i = 0; i < actions.size(); ++i) {
+      const auto* call = std::get_if<PlatformCall>(&actions[i]);
+      if (call == nullptr || call->type != PlatformCall::Type::kList) continue;
+      watches += call->watch_after ? 1 : 0;
+      PlatformReply reply;
+      reply.id = call->id;
+      reply.revision = 5;
+      if (call->key == settings_.config.prefix)
+        reply.objects.push_back({settings_.config.key, 5, "document"});
+      node.OnStore(now, reply, &actions);
+    }
+  }
+  CHECK(watches * 3 > kSpanMs / settings_.config.watch_wait_ms);
+}
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -100,6 +100,47 @@
   CHECK(ErrorOf(cut) != nullptr);
 }
 
+TEST(platform_protocol, configuration_hostAfterTheRules_isDecoded) {
+  std::string text = kDocument;
+  std::string host = R"("host": "a.example", )";
+  text.erase(text.find(host), host.size());
+  std::string end = R"("max_attempts": 3}}])";
+  text.replace(text.find(end), end.size(), end + R"(, "host": "b.example")");
+  Result<RouteConfiguration> read = ReadConfigurationDocument(text);
+  const RouteConfiguration* out = ValueOf(read);
+  CHECK(out != nullptr);
+  LONGS_EQUAL(2, out->routes.size());
+  for (const HttpRoute& route : out->routes)
+    STRCMP_EQUAL("b.example", route.host.c_str());
+}
+
+TEST(platform_protocol, configuration_rulesOfOtherParts_areNoRoutes) {
+  std::string text = kDocument;
+  std::string cluster = R"({"name": "s1", )";
+  text.replace(
+      text.find(cluster), cluster.size(),
+      cluster +
+          R"("rule_set": [{"name": "r-9"}], "more": [{"x": [{"rule_set": [{}]}]}], )");
+  Result<RouteConfiguration> read = ReadConfigurationDocument(text);
+  CHECK(ValueOf(read) != nullptr);
+  LONGS_EQUAL(2, ValueOf(read)->routes.size());
+}
+
+TEST(platform_protocol, configuration_entriesOfAnotherType_failWhole) {
+  for (const char* entry : {"7, ", "null, ", "\"r-0\", ", "[], ", "{}, "}) {
+    std::string rule = kDocument;
+    std::string first_rule = R"({"name": "r-1")";
+    rule.insert(rule.find(first_rule), entry);
+    CHECK_TEXT(ErrorOf(ReadConfigurationDocument(rule)) != nullptr, entry);
+    std::string listener = kDocument;
+    std::string first = R"({"host")";
+    listener.insert(listener.find(first), entry);
+    CHECK_TEXT(ErrorOf(ReadConfigurationDocument(listener)) != nullptr, entry);
+  }
+  for (const char* text : {"", "[]", "7", "{}", R"({"listeners": {}})"})
+    CHECK_TEXT(ErrorOf(ReadConfigurationDocument(text)) != nullptr, text);
+}
+
 TEST(platform_protocol, heartbeat_ofAnotherWriter_isRefused) {
   const char* kBodies[] = {
       "",
