--- a/banyanloft/mesh/forwarder.cc
+++ b/banyanloft/mesh/forwarder.cc
@@ -58,57 +58,44 @@
   StartAttempt(now, id, actions);
 }
 
-std::optional<TargetChoice> Forwarder::ChooseTarget(TimeMs now,
-                                                    const Pending& pending) {
-  std::vector<TargetCandidate> candidates =
-      directory_->CandidatesOf(pending.service);
-  if (candidates.empty()) return std::nullopt;
-  TargetQuery query;
-  query.route = pending.route->id;
-  query.urgency = UrgencyOf(pending.route->priority);
-  query.aim_left_ms = AimLeftMs(now, pending);
-  return board_.Choose(now, candidates, query, pending.excluded);
-}
-
-/// Time left for full credit; a planned stop ends it too.
-int64_t Forwarder::AimLeftMs(TimeMs now, const Pending& pending) const {
-  int64_t left_ms = pending.arrived + pending.route->aim_ms - now;
-  return stop_at_ ? std::min(left_ms, *stop_at_ - now) : left_ms;
-}
-
 void Forwarder::StartAttempt(TimeMs now, uint64_t id, Actions* actions) {
   Pending& pending = requests_.at(id);
-  if (pending.deadline <= now)
-    return Fail(now, id, ErrorKind::kTimeout, actions);
-  std::optional<TargetChoice> choice = ChooseTarget(now, pending);
-  if (choice) return Send(now, id, *choice, actions);
-  if (!pending.open.empty()) return;
-  bool tried = pending.arrivals + pending.refusals > 0;
-  Fail(now, id, tried ? pending.last_error : ErrorKind::kNoTarget, actions);
-}
-
-void Forwarder::Send(TimeMs now, uint64_t id, const TargetChoice& choice,
-                     Actions* actions) {
-  Pending& pending = requests_.at(id);
   const HttpRoute& route = *pending.route;
   int64_t left_ms = pending.deadline - now;
+  if (left_ms <= 0) return Fail(now, id, ErrorKind::kTimeout, actions);
+
+  std::vector<TargetCandidate> candidates =
+      directory_->CandidatesOf(pending.service);
+  TargetQuery query;
+  query.route = route.id;
+  query.urgency = UrgencyOf(route.priority);
+  query.aim_left_ms = pending.arrived + route.aim_ms - now;
+  if (stop_at_)
+    query.aim_left_ms = std::min(query.aim_left_ms, *stop_at_ - now);
+  std::optional<TargetChoice> choice;
+  if (!candidates.empty())
+    choice = board_.Choose(now, candidates, query, pending.excluded);
+  if (!choice && !pending.open.empty()) return;
+  if (!choice) {
+    ErrorKind error = pending.arrivals + pending.refusals > 0
+                          ? pending.last_error
+                          : ErrorKind::kNoTarget;
+    return Fail(now, id, error, actions);
+  }
+
   uint64_t attempt = next_attempt_++;
-  pending.open.push_back({attempt, choice.id, now});
-  pending.target = choice.id;
+  pending.open.push_back({attempt, choice->id, now});
+  pending.target = choice->id;
   request_by_attempt_[attempt] = id;
   int64_t share_ms =
       std::max(settings_.attempt_min_ms,
                left_ms * settings_.second_offer_permille / kPermille);
   bool another_may_follow = route.idempotent && route.max_attempts > 1 &&
-                            pending.arrivals == 0 && pending.open.size() == 1;
-  pending.late_offer_at =
+                            candidates.size() > 1 && pending.arrivals == 0 &&
+                            pending.open.size() == 1;
+  pending.second_offer_at =
       another_may_follow ? now + std::min(share_ms, left_ms) : pending.deadline;
-  pending.second_offer_at = pending.late_offer_at;
-  if (another_may_follow) {
-    pending.second_offer_at =
-        std::min(pending.late_offer_at, EarlyOfferAt(now, pending));
-  }
-  board_.OnSent(choice.id);
+  board_.OnSent(choice->id);
 
   ForwardRequest forward;
   forward.attempt = attempt;
@@ -118,25 +105,14 @@
   forward.route = route.id;
   forward.idempotent = route.idempotent;
   forward.priority = route.priority;
-  forward.aim_left_ms = AimLeftMs(now, pending);
+  forward.aim_left_ms = query.aim_left_ms;
   forward.remaining_ms = left_ms;
   forward.method = pending.request.method;
   forward.target = pending.request.target;
   forward.headers = pending.request.headers;
   forward.body = pending.request.body;
-  counters_.Add("forward_attempts_total", choice.near ? "near" : "far");
-  actions->push_back(SendForward{choice.id, std::move(forward)});
-}
-
-/// The last moment at which a second run of usual length still meets the aim.
-TimeMs Forwarder::EarlyOfferAt(TimeMs now, const Pending& pending) const {
-  const HttpRoute& route = *pending.route;
-  int64_t run_ms = board_.UsualRunMs(now, route.id) *
-                   settings_.usual_run_permille / kPermille;
-  int64_t earliest_ms =
-      route.aim_ms * settings_.early_offer_permille / kPermille;
-  TimeMs at = pending.arrived + std::max(earliest_ms, route.aim_ms - run_ms);
-  return std::max(at, now + settings_.attempt_min_ms);
+  counters_.Add("forward_attempts_total", choice->near ? "near" : "far");
+  actions->push_back(SendForward{choice->id, std::move(forward)});
 }
 
 /// Closes the books on an attempt and returns it.
@@ -437,31 +413,20 @@
   }
 }
 
-/// Offers a request without an answer to a second target; the first goes on,
-/// and whoever answers first serves it. An early offer is made in time for the
-/// aim, and only to a target with room. The load that it answers: some runs
-/// take several times the usual at targets that are well otherwise. A late one
-/// answers targets that hang.
+/// Offers a request that has waited long to a second target; the first goes on,
+/// and whoever answers first serves it.
 void Forwarder::OfferAgain(TimeMs now, uint64_t id, Actions* actions) {
   Pending& pending = requests_.at(id);
-  bool early = now < pending.late_offer_at;
-  pending.second_offer_at = early ? pending.late_offer_at : pending.deadline;
+  pending.second_offer_at = pending.deadline;
   if (pending.open.empty()) return;
   MemberId first = pending.open.front().target;
-  pending.excluded.push_back(first);
-  std::optional<TargetChoice> choice = ChooseTarget(now, pending);
-  pending.excluded.pop_back();
-  if (!choice) return;
-  if (early && choice->expected_ms > AimLeftMs(now, pending)) return;
   ++pending.arrivals;  // The first attempt may be running.
-  bool may =
-      early ? MayRepeat(now, pending, "early", settings_.early_share_permille)
-            : MayRepeat(now, pending, "slow", kPermille);
+  bool may = MayRepeat(now, pending, "slow", kPermille);
   --pending.arrivals;
   if (!may) return;
-  if (!early) board_.OnOutcome(now, first, true);
+  board_.OnOutcome(now, first, true);
   pending.excluded.push_back(first);
-  Send(now, id, *choice, actions);
+  StartAttempt(now, id, actions);
 }
 
 }  // namespace banyanloft
--- a/banyanloft/mesh/forwarder.h
+++ b/banyanloft/mesh/forwarder.h
@@ -31,16 +31,6 @@
   /// Part of the time left after which an idempotent request that is still
   /// without an answer is offered to a second target as well, in 1/1000.
   int64_t second_offer_permille = 550;
-  /// An idempotent request without an answer is offered to a second target also
-  /// at the last moment at which a run of usual length there, times this in
-  /// 1/1000, still meets the aim. Run times vary by some tenths.
-  int64_t usual_run_permille = 1150;
-  /// No such offer is made earlier than after this part of the aim, in 1/1000:
-  /// most runs end by then.
-  int64_t early_offer_permille = 500;
-  /// Part of the retry budget open to such offers, in 1/1000. The rest stays
-  /// for requests that fail.
-  int64_t early_share_permille = 400;
   int64_t attempt_min_ms = 100;  ///< Shortest time for one attempt, in ms.
   /// Part of the retry budget open to requests that a backend server ran and
   /// failed, in 1/1000. Failures often come from its own nested calls: running
@@ -153,7 +143,6 @@
     std::vector<Attempt> open;  ///< Attempts under way, the oldest first.
     MemberId target = 0;        ///< Of the last attempt.
     TimeMs second_offer_at;     ///< When another target is asked as well.
-    TimeMs late_offer_at;       ///< The same, whatever that target's load.
     /// A backend server's failure, for the client if nothing better comes.
     std::optional<HttpResponse> failure;
     ErrorKind last_error = ErrorKind::kNoTarget;
@@ -163,11 +152,6 @@
   void MeasureLink(TimeMs now, const HttpRoute& route, const Attempt& attempt,
                    const ForwardAnswer& answer);
   void StartAttempt(TimeMs now, uint64_t id, Actions* actions);
-  std::optional<TargetChoice> ChooseTarget(TimeMs now, const Pending& pending);
-  void Send(TimeMs now, uint64_t id, const TargetChoice& choice,
-            Actions* actions);
-  int64_t AimLeftMs(TimeMs now, const Pending& pending) const;
-  TimeMs EarlyOfferAt(TimeMs now, const Pending& pending) const;
   Attempt EndAttempt(Pending* pending, uint64_t id);
   void CancelOpen(Pending* pending, Actions* actions);
   void OnRefused(TimeMs now, uint64_t id, ErrorKind error,
--- a/banyanloft/mesh/target_board.cc
+++ b/banyanloft/mesh/target_board.cc
@@ -25,10 +25,7 @@
 int64_t TargetBoard::RunMs(TimeMs now, const Target& target,
                            const std::string& route) const {
   int64_t own_ms = target.run.MeanMs(now, route);
-  return own_ms >= 0 ? own_ms : UsualRunMs(now, route);
-}
-
-int64_t TargetBoard::UsualRunMs(TimeMs now, const std::string& route) const {
+  if (own_ms >= 0) return own_ms;
   int64_t all_ms = run_.MeanMs(now, route);
   return all_ms >= 0 ? all_ms : settings_.first_run_ms;
 }
--- a/banyanloft/mesh/target_board.h
+++ b/banyanloft/mesh/target_board.h
@@ -77,8 +77,6 @@
   void OnOutcome(TimeMs now, MemberId target, bool failed);
   /// The target takes no work now, for example because it drains.
   void Avoid(TimeMs now, MemberId target);
-  /// Usual run time of a route over all targets, in ms.
-  int64_t UsualRunMs(TimeMs now, const std::string& route) const;
   /// Forgets targets that are not in `alive`.
   void Retain(const std::vector<MemberId>& alive);
   /// Targets ejected now.
