--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -64,7 +64,9 @@
     {"run_failed", "a run ended without an answer; how"},
     {"run_refused", "the target refused it unrun; load and estimates"},
     {"settings_rejected", "the settings file; every mistake"},
-    {"settings_reloaded", "the settings file was read again; what it says"},
+    {"settings_reloaded",
+     "the settings were read again; cause, what came into force, what takes a "
+     "restart"},
     {"store_lost", "calls to the store fail; reason"},
     {"store_regained", "calls to the store succeed again"},
     {"version_adopted", "a configuration version is in force; source"},
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -141,6 +141,10 @@
   /// Service that the backend server runs.
   const std::string& Service() const;
   size_t InHand() const { return works_.size(); }
+  /// Period of the backend server's reports from now on, in ms.
+  void SetHeartbeat(int64_t heartbeat_ms) {
+    settings_.heartbeat_ms = heartbeat_ms;
+  }
   const SlotGate& Gate() const { return gate_; }
   const Counters& Counts() const { return counters_; }
   const Histograms& Latencies() const { return histograms_; }
--- a/banyanloft/mesh/forwarder.h
+++ b/banyanloft/mesh/forwarder.h
@@ -85,6 +85,10 @@
 
   /// The version in force; requests in hand keep theirs.
   void SetTable(RouteTablePtr table) { table_ = std::move(table); }
+  /// The retry budget from now on.
+  void ApplyBudget(const RetryBudgetSettings& settings) {
+    budget_.Apply(settings);
+  }
   /// Members among which the retry budget is shared.
   void SetMembers(size_t members) { budget_.SetMembers(members); }
   /// A client's request.
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -73,6 +73,18 @@
       runner_(settings.runner, SeedOf(settings.seed, SeedStream::kRunner), now),
       heard_at_(now) {}
 
+void MeshNode::ApplySettings(const MeshNodeSettings& next) {
+  forwarder_.ApplyBudget(next.forwarder.budget);
+  runner_.SetHeartbeat(next.runner.heartbeat_ms);
+  // A stop that has begun keeps its steps.
+  if (draining_) return;
+  settings_.drain_run_ms = next.drain_run_ms;
+  settings_.drain_min_ms = next.drain_min_ms;
+  settings_.drain_accept_ms = next.drain_accept_ms;
+  settings_.drain_give_back_ms = next.drain_give_back_ms;
+  settings_.drain_max_ms = next.drain_max_ms;
+}
+
 void MeshNode::OnRequest(TimeMs now, uint64_t request, MeshRequest message,
                          Actions* actions) {
   Forwarder::Actions list;
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -91,6 +91,9 @@
                 Actions* actions);
   /// This process did not run for a while.
   void OnOwnPause(TimeMs now, int64_t paused_ms, Actions* actions);
+  /// Brings in force what needs no restart: the retry budget, the steps of a
+  /// planned stop, the period of the backend server's reports.
+  void ApplySettings(const MeshNodeSettings& next);
   /// Planned stop: unready at once, serves on, then emits ReadyToExit.
   void BeginDrain(TimeMs now, Actions* actions);
   /// Periodic duties; to be called every 20 ms or so.
--- a/banyanloft/mesh/retry_budget.cc
+++ b/banyanloft/mesh/retry_budget.cc
@@ -5,6 +5,11 @@
 
 namespace banyanloft {
 
+void RetryBudget::Apply(const RetryBudgetSettings& settings) {
+  if (settings.window_ms != settings_.window_ms) by_service_.clear();
+  settings_ = settings;
+}
+
 RetryBudget::Window& RetryBudget::Advance(TimeMs now,
                                           const std::string& service) {
   Window& window = by_service_[service];
--- a/banyanloft/mesh/retry_budget.h
+++ b/banyanloft/mesh/retry_budget.h
@@ -28,6 +28,8 @@
   explicit RetryBudget(const RetryBudgetSettings& settings)
       : settings_(settings) {}
 
+  /// Settings that hold from now on. With another window, counting begins anew.
+  void Apply(const RetryBudgetSettings& settings);
   /// Members that share the slack, this one included.
   void SetMembers(size_t members) { members_ = members == 0 ? 1 : members; }
   /// A request for the service came in.
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -1,5 +1,6 @@
 #include "banyanloft/mesh/sidecar.h"
 
+#include <fmt/format.h>
 #include <time.h>
 
 #include <boost/asio/io_context.hpp>
@@ -16,6 +17,7 @@
 #include "banyanloft/links/gossip_socket.h"
 #include "banyanloft/links/link_hub.h"
 #include "banyanloft/mesh/backend_edge.h"
+#include "banyanloft/mesh/settings_change.h"
 
 namespace banyanloft {
 namespace {
@@ -56,15 +58,18 @@
 
 class Sidecar::Impl : private LinkListener, private BackendEdgeListener {
  public:
-  Impl(SidecarSettings settings, const EdgeProtocol* protocol)
+  Impl(SidecarSettings settings, const EdgeProtocol* protocol,
+       const SettingsSource* source)
       : settings_(std::move(settings)),
         protocol_(protocol),
+        source_(source),
+        settings_mark_(source->Mark()),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         tick_(io_),
         lag_(clock_.Now(), settings_.tick_ms) {}
 
   Result<bool> Start();
-  void Run(std::function<void()> reload);
+  void Run();
 
  private:
   /// Clients' requests.
@@ -130,17 +135,21 @@
   void CallStore(PlatformCall call);
   void NoticePause(TimeMs now);
   void ApplyTable();
+  void LookAtSettings(TimeMs now);
+  void ReloadSettings(const char* cause);
   void ScheduleTick();
   void WaitForSignal();
   Result<bool> Listen();
 
   SidecarSettings settings_;
   const EdgeProtocol* protocol_;
+  const SettingsSource* source_;
+  int64_t settings_mark_;  ///< Of the settings read last.
+  TimeMs next_settings_look_;
   SteadyClock clock_;
   asio::io_context io_;
   asio::signal_set signals_;
   asio::steady_timer tick_;
-  std::function<void()> reload_;
   std::unique_ptr<MeshNode> node_;
   ClientSide client_side_{this};
   ServiceSide ready_side_{this, &Impl::AnswerReady};
@@ -233,8 +242,7 @@
   return true;
 }
 
-void Sidecar::Impl::Run(std::function<void()> reload) {
-  reload_ = std::move(reload);
+void Sidecar::Impl::Run() {
   WaitForSignal();
   ScheduleTick();
   io_.run();
@@ -246,7 +254,7 @@
   signals_.async_wait([this](boost::system::error_code error, int signal) {
     if (error) return;
     if (signal == SIGHUP) {
-      reload_();
+      ReloadSettings("signal");
     } else {
       client_server_->EndConnections();
       Decide([this](TimeMs now, MeshNode::Actions* actions) {
@@ -262,6 +270,7 @@
   tick_.async_wait([this](boost::system::error_code error) {
     if (error) return;
     lag_.OnTick(clock_.Now());
+    LookAtSettings(clock_.Now());
     Decide([this](TimeMs now, MeshNode::Actions* actions) {
       node_->Tick(now, actions);
     });
@@ -269,6 +278,33 @@
   });
 }
 
+void Sidecar::Impl::LookAtSettings(TimeMs now) {
+  if (now < next_settings_look_) return;
+  next_settings_look_ = now + settings_.settings_poll_ms;
+  if (source_->Mark() != settings_mark_) ReloadSettings("changed");
+}
+
+/// Reads the settings again. A file with a problem changes nothing; what takes
+/// a restart is told and stays as it was.
+void Sidecar::Impl::ReloadSettings(const char* cause) {
+  settings_mark_ = source_->Mark();
+  Result<SidecarSettings> read = source_->Read();
+  if (const Error* error = ErrorOf(read)) {
+    return Log(LogLevel::kError, "settings_rejected",
+               {{"cause", cause}, {"detail", error->detail}});
+  }
+  const SidecarSettings& next = *ValueOf(read);
+  SettingsChange change = CompareSettings(settings_, next);
+  node_->ApplySettings(next.node);
+  settings_.node.forwarder.budget = next.node.forwarder.budget;
+  settings_.node.drain_max_ms = next.node.drain_max_ms;
+  settings_.node.runner.heartbeat_ms = next.node.runner.heartbeat_ms;
+  Log(LogLevel::kInfo, "settings_reloaded",
+      {{"cause", cause},
+       {"applied", fmt::format("{}", fmt::join(change.applied, ", "))},
+       {"at_restart", fmt::format("{}", fmt::join(change.at_restart, ", "))}});
+}
+
 /// A process that was suspended holds beliefs of before, and peers have given
 /// it up: its links start afresh.
 void Sidecar::Impl::NoticePause(TimeMs now) {
@@ -471,12 +507,11 @@
                });
 }
 
-Sidecar::Sidecar(SidecarSettings settings, const EdgeProtocol* protocol)
-    : impl_(std::make_unique<Impl>(std::move(settings), protocol)) {}
+Sidecar::Sidecar(SidecarSettings settings, const EdgeProtocol* protocol,
+                 const SettingsSource* source)
+    : impl_(std::make_unique<Impl>(std::move(settings), protocol, source)) {}
 Sidecar::~Sidecar() = default;
 Result<bool> Sidecar::Start() { return impl_->Start(); }
-void Sidecar::Run(std::function<void()> reload) {
-  impl_->Run(std::move(reload));
-}
+void Sidecar::Run() { impl_->Run(); }
 
 }  // namespace banyanloft
--- a/banyanloft/mesh/sidecar.h
+++ b/banyanloft/mesh/sidecar.h
@@ -1,58 +1,30 @@
 #pragma once
 
-#include <functional>
 #include <memory>
-#include <string>
 
 #include "banyanloft/core/error.h"
-#include "banyanloft/core/log.h"
-#include "banyanloft/http/http_message.h"
 #include "banyanloft/mesh/edge_protocol.h"
-#include "banyanloft/mesh/mesh_node.h"
+#include "banyanloft/mesh/sidecar_settings.h"
 
 namespace banyanloft {
 
-/// Settings of a forwarding daemon.
-struct SidecarSettings {
-  std::string name;  ///< Of the instance, for logs.
-  Endpoint clients;  ///< Takes requests of clients and the backend server.
-  Endpoint ready;    ///< Answers whether it is ready.
-  Endpoint control;  ///< Takes the backend server's reports.
-  Endpoint metrics;  ///< Serves metrics; port 0: not served.
-  Endpoint link;     ///< Takes links of peers (TCP).
-  /// `ip:port` at which peers reach `link`; empty: there itself.
-  std::string advertised_link;
-  Endpoint gossip;    ///< Takes datagrams of peers (UDP).
-  Endpoint backend;   ///< The backend server beside this daemon.
-  Endpoint store;     ///< The platform's store.
-  std::string fleet;  ///< Seals datagrams and links of one fleet.
-  LogSettings log;
-  int64_t tick_ms = 20;             ///< Period of the decisions' clock, in ms.
-  int64_t body_timeout_ms = 30000;  ///< Longest time for a body, in ms.
-  int64_t probe_timeout_ms = 1000;  ///< Wait for a health answer, in ms.
-  int64_t store_timeout_ms = 800;   ///< Wait for the store, in ms.
-  size_t max_clients = 3000;        ///< Client connections held at once.
-  size_t max_backend_connections = 100;  ///< To the backend server.
-  int64_t backend_idle_ms = 8000;  ///< Unused ones are closed after, in ms.
-  MeshNodeSettings node;
-};
-
 /// A forwarding daemon: the edges around `MeshNode` on one event loop. One
 /// thread carries all duties: on instances with a fifth of a core, hand-overs
 /// between threads cost more than they win (docs/design/platform_run.md).
 class Sidecar {
  public:
-  /// `protocol` must outlive the daemon.
-  Sidecar(SidecarSettings settings, const EdgeProtocol* protocol);
+  /// `protocol` and `source` must outlive the daemon.
+  Sidecar(SidecarSettings settings, const EdgeProtocol* protocol,
+          const SettingsSource* source);
   ~Sidecar();
   Sidecar(const Sidecar&) = delete;
   Sidecar& operator=(const Sidecar&) = delete;
 
   /// Binds all addresses; the error says which could not be had.
   Result<bool> Start();
-  /// Serves until a planned stop has finished. SIGTERM begins one, SIGHUP calls
-  /// `reload`, which is also called when the settings file has changed.
-  void Run(std::function<void()> reload);
+  /// Serves until a planned stop has finished. SIGTERM begins one. SIGHUP, or a
+  /// change of the settings, brings those in force that need no restart.
+  void Run();
 
  private:
   class Impl;
--- a/tests/mesh_processes.sh
+++ b/tests/mesh_processes.sh
@@ -31,10 +31,15 @@
 # Beside what fails in the burst and by lost answers: a request for a route that is not there.
 curl -s -o /dev/null -m 3 -H "Host: mesh.example" -H "X-Attempt-Id: probe-route" -H "X-Deadline-Ms: 2000" \
   "http://127.0.0.1:$((base_port + 11))/nowhere/1" || true
+# The settings file of one daemon is replaced: noticed without a signal. Then rubbish, by SIGHUP.
+sed -i 's/retry_budget_slack=[0-9]*/retry_budget_slack=41/' "$dir/sidecar-5.toml"
+grep -q retry_budget_slack=41 "$dir/sidecar-5.toml" || { echo "FAIL the settings name no budget"; exit 1; }
 kill -KILL "${daemon_pids[2]}"
 sleep 0.5
 start_daemon 2
 sleep 2
+echo "[[[" >"$dir/sidecar-5.toml"
+kill -HUP "${daemon_pids[5]}"
 kill -TERM "${daemon_pids[4]}"
 verdict=0
 wait "$standin" || verdict=1
@@ -45,6 +50,10 @@
 fi
 grep -q drain_began "$dir/sidecar-4.log" || { echo "FAIL the planned stop is logged"; exit 1; }
 grep -q version_adopted "$dir/sidecar-0.log" || { echo "FAIL the adopted version is logged"; exit 1; }
+grep -q "settings_reloaded cause=changed .*retry_budget_slack [0-9]* to 41" "$dir/sidecar-5.log" ||
+  { echo "FAIL changed settings come in force:"; grep settings_ "$dir/sidecar-5.log"; exit 1; }
+grep -q "settings_rejected cause=signal" "$dir/sidecar-5.log" || { echo "FAIL bad settings are rejected"; exit 1; }
+echo "ok   settings come in force without a restart; bad ones are rejected"
 # The command finds each cause by the logs alone.
 explains() {  # explains ID TEXT
   "$BUILD_DIR/banyanloft" explain "$1" "$dir"/sidecar-*.log >"$dir/story" || { echo "FAIL no story of $1"; exit 1; }
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -1,7 +1,9 @@
 #include "platform/platform_protocol.h"
 
 #include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
 
+#include "banyanloft/core/random.h"
 #include "platform/document.h"
 #include "platform/settings_file.h"
 #include "platform/store_calls.h"
@@ -100,6 +102,29 @@
   CHECK(ErrorOf(cut) != nullptr);
 }
 
+TEST(platform_protocol, settings_malformedText_isAnErrorAndNothingElse) {
+  CHECK(ErrorOf(ReadSettingsText("[[[")) != nullptr);
+  bool holds = rc::check("damaged settings", [](uint64_t seed) {
+    std::string text = kSettings;
+    Random random(seed);
+    size_t damages = 1 + random.Below(6);
+    for (size_t i = 0; i < damages; ++i) {
+      size_t at = random.Below(text.size());
+      constexpr char kSigns[] = "[]{}=\"'\\\n\t #.,-+_0aeE:";
+      char sign = kSigns[random.Below(sizeof(kSigns) - 1)];
+      if (random.Permille(300)) {
+        text.erase(at, random.Below(9));
+      } else if (random.Permille(500)) {
+        text.insert(at, 1 + random.Below(4), sign);
+      } else {
+        text[at] = sign;
+      }
+    }
+    ReadSettingsText(text);  // Settings or an error: either will do.
+  });
+  CHECK(holds);
+}
+
 TEST(platform_protocol, configuration_hostAfterTheRules_isDecoded) {
   std::string text = kDocument;
   std::string host = R"("host": "a.example", )";
