Work of clients that return waits behind work that can still meet its aim

Cause: the aim counts from a client's first try, which a daemon does not see; after an outage or a flood, returning clients' late work was ordered and admitted like new work, and made that late too. Change: PatienceTable learns the whole patience that many of a route's clients come with (exact values; the frequent ones are kept) and takes the difference to what is left off the aim. Clients with little patience from the start have a frequent value of their own and count as new: tested. The least room of a class at the gate follows the cap of reserved slots instead of an unnamed quarter.

--- a/banyanloft/mesh/forwarder.cc
+++ b/banyanloft/mesh/forwarder.cc
@@ -24,6 +24,7 @@
       splitter_(random_.Bits()),
       board_(settings.board, random_.Bits()),
       budget_(settings.budget),
+      patience_(settings.patience),
       // A peer may still answer attempts of an earlier process at this address.
       next_attempt_(random_.Bits() >> 1) {}
 
@@ -47,6 +48,9 @@
   pending.arrived = now - request.held_ms;
   pending.deadline = pending.arrived + route->timeout_ms;
   if (request.wait_ms > 0) {
+    pending.spent_ms = patience_.SpentMs(route->id, request.wait_ms);
+    if (pending.spent_ms > 0)
+      counters_.Add("forward_returned_total", route->id);
     TimeMs client =
         pending.arrived + request.wait_ms - settings_.answer_margin_ms;
     pending.deadline = std::min(pending.deadline, client);
@@ -69,7 +73,7 @@
   TargetQuery query;
   query.route = route.id;
   query.urgency = UrgencyOf(route.priority);
-  query.aim_left_ms = pending.arrived + route.aim_ms - now;
+  query.aim_left_ms = pending.arrived + route.aim_ms - pending.spent_ms - now;
   if (stop_at_)
     query.aim_left_ms = std::min(query.aim_left_ms, *stop_at_ - now);
   std::optional<TargetChoice> choice;
--- a/banyanloft/mesh/forwarder.h
+++ b/banyanloft/mesh/forwarder.h
@@ -13,6 +13,7 @@
 #include "banyanloft/core/log.h"
 #include "banyanloft/core/random.h"
 #include "banyanloft/mesh/mesh_message.h"
+#include "banyanloft/mesh/patience_table.h"
 #include "banyanloft/mesh/retry_budget.h"
 #include "banyanloft/mesh/route_table.h"
 #include "banyanloft/mesh/target_board.h"
@@ -25,6 +26,7 @@
   std::string caller;  ///< Service of the backend server beside this daemon.
   RetryBudgetSettings budget;
   TargetBoardSettings board;
+  PatienceTableSettings patience;
   /// Targets that may refuse a request unrun before its client is told; a
   /// refusal costs a round trip and no work.
   int max_refusals = 3;
@@ -139,6 +141,7 @@
     MeshRequest request;
     std::string service;
     TimeMs arrived;
+    int64_t spent_ms = 0;  ///< Time that the client waited before, in ms.
     TimeMs deadline;
     int arrivals = 0;  ///< Attempts that a backend server may have got.
     int refusals = 0;  ///< Attempts refused unrun.
@@ -175,6 +178,7 @@
   WeightSplitter splitter_;
   TargetBoard board_;
   RetryBudget budget_;
+  PatienceTable patience_;
   std::map<uint64_t, Pending> requests_;
   std::unordered_map<uint64_t, uint64_t> request_by_attempt_;
   uint64_t next_attempt_;
--- a/banyanloft/mesh/slot_gate.cc
+++ b/banyanloft/mesh/slot_gate.cc
@@ -64,7 +64,9 @@
     running_ms += CostMs(now, work.route, work.aim_ms);
   int busy = std::max(1, Running());
   int urgent = SlotsForUrgent(now, offer);
-  int left = std::max(slots / 4, std::max(1, slots - urgent));
+  int kept =
+      static_cast<int>(slots * settings_.reserve_cap_permille / kPermille);
+  int left = std::max({1, slots - kept, slots - urgent});
   return (ahead_ms + running_ms / busy) / left;
 }
 
--- /dev/null
+++ b/tests/patience_table_test.cc
@@ -0,0 +1,55 @@
+#include "banyanloft/mesh/patience_table.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "banyanloft/core/random.h"
+
+using namespace banyanloft;
+
+TEST_GROUP(patience_table) { PatienceTable table_{PatienceTableSettings()}; };
+
+TEST(patience_table, newClients_haveSpentNothing) {
+  for (int i = 0; i < 100; ++i) LONGS_EQUAL(0, table_.SpentMs("r", 8000));
+}
+
+TEST(patience_table, clientThatReturns_hasSpentTheDifference) {
+  for (int i = 0; i < 20; ++i) table_.SpentMs("r", 8000);
+  LONGS_EQUAL(1700, table_.SpentMs("r", 6300));
+  LONGS_EQUAL(0, table_.SpentMs("other", 6300));
+}
+
+/// The load: an outage has ended, and most clients return, each with another
+/// part of its patience left.
+TEST(patience_table, mostClientsReturn_newOnesAreStillTold) {
+  Random random(5);
+  int told = 0;
+  for (int i = 0; i < 1000; ++i) {
+    if (random.Permille(200)) {
+      LONGS_EQUAL(0, table_.SpentMs("r", 8000));
+      continue;
+    }
+    int64_t left_ms = 3000 + static_cast<int64_t>(random.Below(4900));
+    if (table_.SpentMs("r", left_ms) == 8000 - left_ms) ++told;
+  }
+  CHECK(told > 600);
+}
+
+/// The load: some clients have little patience from the start. They have spent
+/// nothing, and must not be taken for ones that return.
+TEST(patience_table, someClientsHaveLittlePatience_theyAreNew) {
+  int wrong = 0;
+  for (int i = 0; i < 300; ++i) {
+    table_.SpentMs("r", 8000);
+    table_.SpentMs("r", 8000);
+    wrong += table_.SpentMs("r", 1500) > 0 ? 1 : 0;
+  }
+  CHECK(wrong <= 3);
+  LONGS_EQUAL(300, table_.SpentMs("r", 1200));
+}
+
+TEST(patience_table, clientsOfAnotherPatience_areLearntAnew) {
+  for (int i = 0; i < 1000; ++i) table_.SpentMs("r", 8000);
+  for (int i = 0; i < 2000; ++i) table_.SpentMs("r", 4000);
+  LONGS_EQUAL(1000, table_.SpentMs("r", 3000));
+  LONGS_EQUAL(0, table_.SpentMs("r", 5000));
+}
