The first read after a peer's version is fresh

Cause, found by reading the diff: a daemon that starts takes its first version from any peer; if that peer had lost the store, the poll that followed might be answered out of date. Change: a version that nobody has confirmed is checked by a fresh read. herd_start/versionOfAPeer* fails first.

--- a/banyanloft/mesh/config_follower.cc
+++ b/banyanloft/mesh/config_follower.cc
@@ -72,7 +72,8 @@
     call_ = Call::kWatch;
     call_deadline_ = now + settings_.watch_wait_ms + settings_.timeout_ms;
   } else {
-    call.stale_ok = table_ != nullptr && !watching;
+    // A first version may come from a peer that has lost the store.
+    call.stale_ok = table_ != nullptr && !watching && confirmed_at_;
     call_ = call.stale_ok ? Call::kStaleRead : Call::kRead;
     call_deadline_ = now + settings_.timeout_ms;
   }
--- a/tests/herd_start_test.cc
+++ b/tests/herd_start_test.cc
@@ -111,6 +111,19 @@
   LONGS_EQUAL(9, follower.Version());
 }
 
+/// The load: a daemon restarts beside peers that have lost the store.
+TEST(herd_start, versionOfAPeer_neverConfirmed_isCheckedByAFreshRead) {
+  ConfigFollowerSettings settings;
+  ConfigFollower follower(settings, 1, TimeMs(0), &reader_);
+  ConfigFollower::Actions actions;
+  follower.OnRumour(TimeMs(60), "peer:1", true, 9, -1, &actions);
+  follower.OnDocument(DocumentReply{9, Pack("9")}, &actions);
+  actions.clear();
+  follower.Tick(TimeMs(settings.herd_wait_ms), false, &actions);
+  LONGS_EQUAL(1, actions.size());
+  CHECK(!std::get<PlatformCall>(actions.front()).stale_ok);
+}
+
 TEST(herd_start, peerDoesNotAnswer_isReadFromTheStore) {
   ConfigFollowerSettings settings;
   ConfigFollower follower(settings, 1, TimeMs(0), &reader_);
