Instance registry: late report no longer revives a server that left before its start was known

Its start time differed from the unknown one, so it counted as a restart and the server was used again.

Change: while the start of a deregistered server is unknown, a report with its id counts as late if a server started since could not have sent that many.

Tests: instance_registry/deregistered_startUnknown_lateReportIsIgnored failed before; ..._restartWithSameIdIsReady keeps real restarts.

--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -53,7 +53,7 @@
                              uint64_t seed, TimeMs now)
     : settings_(settings),
       random_(seed),
-      registry_(settings.address),
+      registry_(settings.address, settings.heartbeat_ms),
       admission_(settings.admission),
       crash_guard_(settings.crash_guard),
       next_probe_(now) {}
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -150,6 +150,7 @@
   /// Sets the expected period of the backend server's reports, in ms.
   void SetHeartbeat(int64_t heartbeat_ms) {
     settings_.heartbeat_ms = heartbeat_ms;
+    registry_.SetHeartbeat(heartbeat_ms);
   }
   const AdmissionController& Admission() const { return admission_; }
   const Counters& Counts() const { return counters_; }
--- a/banyanloft/mesh/instance_registry.cc
+++ b/banyanloft/mesh/instance_registry.cc
@@ -10,9 +10,28 @@
   return kNames[static_cast<size_t>(state)];
 }
 
+/// Whether a report is a late one of the server that deregistered, although
+/// this process does not know when that server started. A server that started
+/// after the deregistration would have sent fewer reports by now.
+bool InstanceRegistry::PrecedesDeregistration(
+    TimeMs now, const InstanceReport& report) const {
+  constexpr int64_t kMaxReportsPerHeartbeat = 2;
+  bool start_unknown = last_.start_time_ms == 0;
+  if (state_ != InstanceState::kGone || !start_unknown || report.id != last_.id)
+    return false;
+  int64_t max_reports =
+      1 + (now - reported_at_) * kMaxReportsPerHeartbeat / heartbeat_ms_;
+  return report.sequence > max_reports;
+}
+
 InstanceRegistry::Change InstanceRegistry::OnReport(
     TimeMs now, const InstanceReport& report) {
   if (report.address != address_) return Change::kIgnored;
+  if (PrecedesDeregistration(now, report)) {
+    last_.start_time_ms = report.start_time_ms;
+    last_.sequence = report.sequence;
+    return Change::kIgnored;
+  }
   bool same_start =
       report.id == last_.id && report.start_time_ms == last_.start_time_ms;
   if (same_start) {
--- a/banyanloft/mesh/instance_registry.h
+++ b/banyanloft/mesh/instance_registry.h
@@ -34,12 +34,17 @@
 
 /// Tracks the backend server on this instance by its reports. Late reports and
 /// those of earlier starts are ignored. Draining and deregistration are final
-/// until the backend server starts again. Deterministic; not thread safe.
+/// until the backend server starts again, also if this process started after
+/// the last report and knows the server from a health check only.
+/// Deterministic; not thread safe.
 class InstanceRegistry {
  public:
   /// `address`: reports with any other address are ignored.
-  explicit InstanceRegistry(std::string address)
-      : address_(std::move(address)) {}
+  InstanceRegistry(std::string address, int64_t heartbeat_ms)
+      : address_(std::move(address)), heartbeat_ms_(heartbeat_ms) {}
+
+  /// Sets the expected period of reports, in ms.
+  void SetHeartbeat(int64_t heartbeat_ms) { heartbeat_ms_ = heartbeat_ms; }
 
   /// Effect of a report.
   enum class Change : uint8_t {
@@ -68,7 +73,10 @@
   TimeMs ReportedAt() const { return reported_at_; }
 
  private:
+  bool PrecedesDeregistration(TimeMs now, const InstanceReport& report) const;
+
   std::string address_;
+  int64_t heartbeat_ms_;  ///< Expected period of reports, in ms.
   InstanceState state_ = InstanceState::kUnknown;
   InstanceReport last_;
   TimeMs reported_at_{-1000000};
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -23,7 +23,11 @@
 
 }  // namespace
 
-TEST_GROUP(instance_registry) { InstanceRegistry registry_{kAddress}; };
+constexpr int64_t kHeartbeatMs = 1500;
+
+TEST_GROUP(instance_registry) {
+  InstanceRegistry registry_{kAddress, kHeartbeatMs};
+};
 
 TEST(instance_registry, report_late_isIgnored) {
   registry_.OnReport(TimeMs(0), ReportOf(2, true));
@@ -66,6 +70,28 @@
   CHECK(registry_.State() == InstanceState::kGone);
 }
 
+// The process restarts after the last report, learns the id from a health
+// check, and acknowledges the deregistration. A report sent before that arrives
+// late.
+TEST(instance_registry, deregistered_startUnknown_lateReportIsIgnored) {
+  registry_.OnHealthy(TimeMs(0), "i-1", "s");
+  registry_.OnDeregistered(TimeMs(500), "i-1");
+  CHECK(registry_.OnReport(TimeMs(2600), ReportOf(21)) ==
+        InstanceRegistry::Change::kIgnored);
+  CHECK(registry_.State() == InstanceState::kGone);
+  registry_.OnReport(TimeMs(90000), ReportOf(22));
+  CHECK(registry_.State() == InstanceState::kGone);
+}
+
+TEST(instance_registry, deregistered_startUnknown_restartWithSameIdIsReady) {
+  registry_.OnHealthy(TimeMs(0), "i-1", "s");
+  registry_.OnDeregistered(TimeMs(500), "i-1");
+  registry_.OnReport(TimeMs(2600), ReportOf(21));
+  CHECK(registry_.OnReport(TimeMs(9000), ReportOf(1, false, 2000)) ==
+        InstanceRegistry::Change::kStarted);
+  CHECK(registry_.State() == InstanceState::kReady);
+}
+
 TEST_GROUP(backend_runner) {
   std::unique_ptr<BackendRunner> runner_;
   BackendRunner::Actions actions_;
