Admission: expected wait counts only work that is started earlier

Its queue of records put the expected wait of nested calls over their limit, although calls are due earlier and start first. 3134 of 4000 calls were refused, and each failed a lookup that already held a slot elsewhere (500 from a server 4444 times).

Change: in its own class, work counts only what is due before it.

--- a/banyanloft/mesh/admission_controller.cc
+++ b/banyanloft/mesh/admission_controller.cc
@@ -51,7 +51,8 @@
 }
 
 /// Run time of the work ahead divided by the slots available to this class,
-/// that is without those reserved for more urgent classes.
+/// that is without those reserved for more urgent classes. Work of the same
+/// class that is due later does not count, because it is started later.
 int64_t AdmissionController::ExpectedWaitMs(
     TimeMs now, const AdmissionRequest& offer) const {
   int urgency = offer.urgency;
@@ -60,6 +61,8 @@
   int ahead = 0;
   for (int cls = 0; cls <= urgency; ++cls) {
     for (const AdmissionRequest& work : waiting_[static_cast<size_t>(cls)]) {
+      bool behind = cls == urgency && work.due > offer.due;
+      if (behind || work.id == offer.id) break;
       ahead_ms += ExpectedRunMs(now, work);
       ++ahead;
     }
