Target selection: stay in the zone if no target is expected to meet the aim

Cause: once the own zone missed its aim, a request went wherever it was expected to finish first, even if that was too late as well; where a service is overloaded everywhere this only moves bytes between zones.

Change: then the own zone is preferred unless another finishes in half the time. One rule for every site: bytes are spent only where the caller gains by them.

Tests: target_selector/choose_noTargetMeetsAim_*.

--- a/banyanloft/mesh/target_selector.cc
+++ b/banyanloft/mesh/target_selector.cc
@@ -101,7 +101,13 @@
   if (!best_same_zone) return best;
   int64_t limit_ms =
       query.aim_left_ms * settings_.same_zone_share_permille / kPermille;
-  return best_same_zone->expected_ms <= limit_ms ? best_same_zone : best;
+  bool stay = best_same_zone->expected_ms <= limit_ms;
+  // If no target is expected to meet the aim, sending the request to another
+  // zone only adds traffic, unless it is answered much earlier there.
+  if (best->expected_ms > limit_ms)
+    stay = best_same_zone->expected_ms * kPermille <=
+           best->expected_ms * settings_.late_same_zone_permille;
+  return stay ? best_same_zone : best;
 }
 
 void TargetSelector::OnSent(MemberId id) {
--- a/banyanloft/mesh/target_selector.h
+++ b/banyanloft/mesh/target_selector.h
@@ -26,6 +26,10 @@
   /// may need before other zones are considered, in 1/1000. The rest allows for
   /// errors of the estimate.
   int64_t same_zone_share_permille = 800;
+  /// If no target is expected to meet the aim: longest expected time of a
+  /// target in the local zone for which it is still preferred, relative to that
+  /// of the best target, in 1/1000.
+  int64_t late_same_zone_permille = 2000;
   int failures_to_eject = 4;    ///< Consecutive failures that eject a target.
   int64_t eject_base_ms = 500;  ///< First ejection, in ms; doubles each time.
   int64_t max_eject_ms = 3000;  ///< Maximum ejection before jitter, in ms.
--- a/tests/mesh_routing_test.cc
+++ b/tests/mesh_routing_test.cc
@@ -141,6 +141,22 @@
   LONGS_EQUAL(2, Chosen(TimeMs(10)));
 }
 
+// A service that is overloaded everywhere: another zone answers too late as
+// well, so the bytes between zones would buy nothing.
+TEST(target_selector, choose_noTargetMeetsAim_staysInZone) {
+  selector_.OnReport(TimeMs(0), 1, LoadOf(80), "r", 100);
+  selector_.OnReport(TimeMs(0), 2, LoadOf(60), "r", 100);
+  selector_.OnReport(TimeMs(0), 3, LoadOf(60), "r", 100);
+  LONGS_EQUAL(1, Chosen(TimeMs(10)));
+}
+
+TEST(target_selector, choose_noTargetMeetsAimButOneIsMuchEarlier_leavesZone) {
+  selector_.OnReport(TimeMs(0), 1, LoadOf(300), "r", 100);
+  selector_.OnReport(TimeMs(0), 2, LoadOf(60), "r", 100);
+  selector_.OnReport(TimeMs(0), 3, LoadOf(200), "r", 100);
+  LONGS_EQUAL(2, Chosen(TimeMs(10)));
+}
+
 TEST(target_selector, choose_excludedOrAvoided_isNotSelected) {
   selector_.Avoid(TimeMs(0), 1);
   CHECK(Chosen(TimeMs(10)) != 1);
