Links: ping only with a request in flight; verify an idle link before it is used

Cause: every link used within ten seconds was pinged about four times a second from both sides. With 296 daemons most links are idle. And a message written to a link that had died while idle was lost, its outcome unknown.

Change: pings only while a reply is awaited. After 500 ms without input the next message waits for a ping (one round trip, 200 ms at most) and is reported as not sent if none comes, so that it can go elsewhere truthfully. A silent peer makes all idle links be pinged once, because a zone may be cut off.

Tests: link/idleLinkIsDead_*, idleLinkIsAlive_*, linkIsIdle_*, onePeerIsSilent_*.

--- a/banyanloft/links/link_hub.cc
+++ b/banyanloft/links/link_hub.cc
@@ -24,6 +24,19 @@
 constexpr int64_t kSendRetryMs = 1;
 constexpr size_t kFrameOverheadBytes = 64;
 
+/// Change of the number of open exchanges on a link that carries the message:
+/// requests that await a reply, in either direction.
+int ExchangesOpenedBy(const PeerMessage& message) {
+  if (std::holds_alternative<RunRequest>(message) ||
+      std::holds_alternative<KeyRequest>(message) ||
+      std::holds_alternative<PullRequest>(message) ||
+      std::holds_alternative<ForwardRequest>(message) ||
+      std::holds_alternative<DocumentRequest>(message))
+    return 1;
+  const auto* cancel = std::get_if<CancelForward>(&message);
+  return cancel != nullptr && cancel->only_if_queued ? 0 : -1;
+}
+
 /// Turns off websocketpp's logging, which costs time and adds nothing to the
 /// counters.
 template <typename Base>
@@ -82,6 +95,9 @@
     std::chrono::steady_clock::time_point last_received;
     std::chrono::steady_clock::time_point pinged_at;
     bool ping_pending = false;  ///< Nothing was received since the last ping.
+    /// Frames wait until the last ping has been answered.
+    bool verifying = false;
+    int open_exchanges = 0;  ///< Requests that await a reply.
     bool silence_reported = false;
     std::chrono::steady_clock::time_point opened_at;
   };
@@ -98,8 +114,13 @@
   void OnChallenge(const LinkPtr& link, const std::string& payload);
   void OnHello(const LinkPtr& link, const std::string& payload);
   void OnClosed(Handle handle);
-  void OnReceived(Link* link);
+  void OnReceived(const LinkPtr& link);
+  static void CountExchange(Link* link, const PeerMessage& message);
+  void Ping(Link* link);
+  void VerifyIfIdle(Link* link);
   void CheckLiveness(const LinkPtr& link);
+  void CheckPing(const LinkPtr& link);
+  void PingAll();
   void Drop(const LinkPtr& link, const char* reason);
   void SendQueued(const LinkPtr& link);
   void ReportUnsent(const LinkPtr& link);
@@ -117,6 +138,7 @@
   uint64_t next_tag_ = 1;
   bool stopped_ = false;
   asio::steady_timer housekeeping_;
+  std::chrono::steady_clock::time_point next_ping_all_;
   Counters counters_;
 };
 
@@ -136,7 +158,9 @@
   });
   endpoint->set_pong_handler([this](Handle handle, const std::string&) {
     auto found = by_handle_.find(handle);
-    if (found != by_handle_.end()) OnReceived(found->second.get());
+    if (found == by_handle_.end()) return;
+    LinkPtr link = found->second;
+    OnReceived(link);
   });
   endpoint->set_close_handler([this](Handle handle) { OnClosed(handle); });
   endpoint->set_fail_handler([this](Handle handle) { OnClosed(handle); });
@@ -227,10 +251,17 @@
     listener_->OnLinkNotSent(peer, std::move(message));
     return;
   }
+  CountExchange(link.get(), message);
   link->unsent.emplace(tag, std::move(message));
+  VerifyIfIdle(link.get());
   SendQueued(link);
 }
 
+void LinkHub::Impl::CountExchange(Link* link, const PeerMessage& message) {
+  link->open_exchanges =
+      std::max(0, link->open_exchanges + ExchangesOpenedBy(message));
+}
+
 LinkHub::Impl::LinkPtr LinkHub::Impl::FindLink(const std::string& peer) {
   auto it = by_peer_.find(peer);
   return it == by_peer_.end() ? nullptr : it->second;
@@ -268,7 +299,7 @@
   if (found == by_handle_.end()) return;
   LinkPtr link = found->second;
   link->last_use = std::chrono::steady_clock::now();
-  OnReceived(link.get());
+  OnReceived(link);
   counters_.Add("link_bytes_total", "received", payload.size());
   if (!link->open) {
     return link->outbound ? OnChallenge(link, payload) : OnHello(link, payload);
@@ -287,6 +318,7 @@
     return;
   }
   counters_.Add("link_messages_total", "received");
+  CountExchange(link.get(), *ValueOf(message));
   listener_->OnLinkMessage(link->peer, std::move(*ValueOf(message)));
 }
 
@@ -345,13 +377,34 @@
   listener_->OnLinkLost(link->peer);
 }
 
-void LinkHub::Impl::OnReceived(Link* link) {
+void LinkHub::Impl::OnReceived(const LinkPtr& link) {
   link->last_received = std::chrono::steady_clock::now();
   link->ping_pending = false;
+  if (!link->verifying) return;
+  link->verifying = false;
+  SendQueued(link);
 }
 
-/// Pings the peers of links in use and closes links whose peer does not
-/// respond, since a connection can be dead without a reset.
+void LinkHub::Impl::Ping(Link* link) {
+  link->ping_pending = true;
+  link->silence_reported = false;
+  link->pinged_at = std::chrono::steady_clock::now();
+  counters_.Add("link_pings_total");
+  link->ping();
+}
+
+/// A connection can be dead without a reset, and whatever is written to it is
+/// lost: after a pause, messages wait until the peer has answered a ping.
+void LinkHub::Impl::VerifyIfIdle(Link* link) {
+  auto silent = std::chrono::steady_clock::now() - link->last_received;
+  bool idle = silent >= std::chrono::milliseconds(settings_.verify_after_ms);
+  if (!link->open || link->ping_pending || !idle) return;
+  link->verifying = true;
+  Ping(link);
+}
+
+/// Pings the peers of links with open exchanges and closes links whose peer
+/// does not respond.
 void LinkHub::Impl::CheckLiveness(const LinkPtr& link) {
   using Ms = std::chrono::milliseconds;
   auto now = std::chrono::steady_clock::now();
@@ -360,21 +413,41 @@
     if (timed_out && link->outbound) Drop(link, "handshake timed out");
     return;
   }
-  if (link->ping_pending) {
-    if (now - link->pinged_at > Ms(settings_.ping_timeout_ms))
-      return Drop(link, "peer is silent");
-    bool silent = now - link->pinged_at > Ms(settings_.silent_after_ms);
-    if (silent && !link->silence_reported) listener_->OnLinkSilent(link->peer);
-    link->silence_reported = link->silence_reported || silent;
+  if (link->ping_pending) return CheckPing(link);
+  if (link->open_exchanges == 0 ||
+      now - link->last_received < Ms(settings_.ping_after_ms))
     return;
+  Ping(link.get());
+}
+
+/// Reports and finally closes a link whose peer has not answered the last ping.
+void LinkHub::Impl::CheckPing(const LinkPtr& link) {
+  int64_t waited_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          std::chrono::steady_clock::now() - link->pinged_at)
+                          .count();
+  int64_t timeout_ms =
+      link->verifying ? settings_.verify_timeout_ms : settings_.ping_timeout_ms;
+  if (waited_ms > timeout_ms)
+    return Drop(link, link->verifying ? "idle link is dead" : "peer is silent");
+  bool silent = waited_ms > settings_.silent_after_ms;
+  if (!silent || link->silence_reported) return;
+  link->silence_reported = true;
+  listener_->OnLinkSilent(link->peer);
+  PingAll();
+}
+
+/// A silent peer may mean that many are cut off: idle links are pinged too, so
+/// that the others are found before requests are sent to them.
+void LinkHub::Impl::PingAll() {
+  auto now = std::chrono::steady_clock::now();
+  if (now < next_ping_all_) return;
+  next_ping_all_ =
+      now + std::chrono::milliseconds(settings_.ping_all_period_ms);
+  for (auto& [handle, link] : by_handle_) {
+    bool quiet = now - link->last_received >=
+                 std::chrono::milliseconds(settings_.ping_after_ms);
+    if (link->open && !link->ping_pending && quiet) Ping(link.get());
   }
-  bool in_use = now - link->last_use < Ms(settings_.liveness_window_ms);
-  if (!in_use || now - link->last_received < Ms(settings_.ping_after_ms))
-    return;
-  link->ping_pending = true;
-  link->silence_reported = false;
-  link->pinged_at = now;
-  link->ping();
 }
 
 /// Removes a link at once; its connection is torn down afterwards.
@@ -392,7 +465,7 @@
 /// Writes frames while little is buffered in the connection, so that later
 /// urgent messages are not queued behind long ones.
 void LinkHub::Impl::SendQueued(const LinkPtr& link) {
-  if (!link->open) return;
+  if (!link->open || link->verifying) return;
   while (!link->out.Empty() &&
          link->buffered() < settings_.write_window_bytes) {
     std::optional<uint64_t> started;
--- a/banyanloft/links/link_hub.h
+++ b/banyanloft/links/link_hub.h
@@ -22,16 +22,24 @@
   int64_t handshake_timeout_ms = 1000;  ///< Timeout for opening a link, in ms.
   int64_t idle_timeout_ms =
       120000;  ///< Idle links are closed after this time, in ms.
-  /// Time without input after which a link in use is pinged, in ms.
+  /// Time without input after which a link with open exchanges is pinged, in
+  /// ms.
   int64_t ping_after_ms = 150;
+  /// Time without input after which a link is verified by a ping before a
+  /// message is sent on it, in ms. A dead link then takes no message with it.
+  int64_t verify_after_ms = 500;
+  /// Time that a message waits for this ping to be answered until it is
+  /// reported as not sent and the link is closed, in ms.
+  int64_t verify_timeout_ms = 200;
   /// Time without input after a ping until the peer is reported as silent, in
   /// ms: many times the round-trip time between availability zones.
   int64_t silent_after_ms = 150;
   /// Time without input after a ping until the link is closed, in ms: several
   /// times the round-trip time to the farthest availability zone.
   int64_t ping_timeout_ms = 600;
-  /// Links that have been idle for this long are not pinged, in ms.
-  int64_t liveness_window_ms = 10000;
+  /// Minimum time between pings to all peers, which follow when one is found to
+  /// be silent, in ms.
+  int64_t ping_all_period_ms = 500;
   size_t max_links = 4000;  ///< Maximum number of open links.
   size_t write_window_bytes =
       64 * 1024;  ///< Bytes buffered in a connection above which frames wait.
@@ -53,8 +61,11 @@
 };
 
 /// The links to peers: websockets that carry CBOR messages in bounded frames,
-/// opened on first use. Peers authenticate with the fleet's secret. Must be
-/// called on the event loop's thread.
+/// opened on first use. Peers authenticate with the fleet's secret. A link is
+/// pinged only while a request on it awaits its reply, before it is used again
+/// after a pause, and when another peer turns out to be silent: a daemon has
+/// links to much of the fleet, and most of them are idle. Must be called on the
+/// event loop's thread.
 class LinkHub {
  public:
   /// `listener` must outlive the hub.
--- a/tests/link_test.cc
+++ b/tests/link_test.cc
@@ -8,12 +8,15 @@
 #include "banyanloft/links/frame.h"
 #include "banyanloft/links/gossip_socket.h"
 #include "banyanloft/links/link_hub.h"
+#include "soak/loopback_proxy.h"
 
 using namespace banyanloft;
 
 namespace {
 
 constexpr char kSecret[] = "secret of the tests";
+const Endpoint kProxyEndpoint{"127.0.0.1", 39483};
+const Endpoint kOtherProxyEndpoint{"127.0.0.1", 39484};
 
 /// Records the events that a hub reports.
 class Recorder final : public LinkListener {
@@ -24,9 +27,13 @@
   }
   void OnLinkNotSent(const std::string&, PeerMessage) override { ++not_sent; }
   void OnLinkLost(const std::string&) override { ++lost; }
+  void OnLinkSilent(const std::string& link) override {
+    silent.push_back(link);
+  }
 
   std::vector<std::string> from;
   std::vector<PeerMessage> messages;
+  std::vector<std::string> silent;
   int not_sent = 0;
   int lost = 0;
 };
@@ -54,6 +61,10 @@
     }
     CHECK(done());
   }
+  static void RunFor(boost::asio::io_context & io, int64_t duration_ms) {
+    io.restart();
+    io.run_for(std::chrono::milliseconds(duration_ms));
+  }
 };
 
 TEST(link, urgentMessage_overtakesALongOneOfLowerRank) {
@@ -269,6 +280,98 @@
   RunUntil(io, [&] { return a.lost == 1; });
 }
 
+// The connection goes dead without a reset while it is idle. The next message
+// must not be written to it: the sender could not tell whether it arrived.
+TEST(link, idleLinkIsDead_nextMessageIsReportedNotSent) {
+  boost::asio::io_context io;
+  Recorder a;
+  Recorder b;
+  LinkSettings settings;
+  settings.secret = kSecret;
+  settings.verify_after_ms = 100;
+  LinkHub peer(io, settings, &b);
+  Endpoint at_peer = *ValueOf(peer.Start());
+  soak::LoopbackProxy proxy(io, kProxyEndpoint, at_peer);
+  CHECK(ValueOf(proxy.Start()) != nullptr);
+  LinkHub hub(io, settings, &a);
+  hub.Start();
+  hub.Send(kProxyEndpoint.Text(), 0, CancelRun{1});
+  RunUntil(io, [&] { return b.messages.size() == 1; });
+  proxy.SetFault(soak::ProxyFault::kStall);
+  RunFor(io, 150);
+  hub.Send(kProxyEndpoint.Text(), 0, Request(2, 10));
+  RunUntil(io, [&] { return a.not_sent == 1; });
+  proxy.SetFault(soak::ProxyFault::kNone);
+  RunFor(io, 300);
+  CHECK_EQUAL(1U, b.messages.size());
+}
+
+TEST(link, idleLinkIsAlive_nextMessageArrives) {
+  boost::asio::io_context io;
+  Recorder a;
+  Recorder b;
+  LinkSettings settings;
+  settings.secret = kSecret;
+  settings.verify_after_ms = 100;
+  LinkHub peer(io, settings, &b);
+  std::string at_peer = ValueOf(peer.Start())->Text();
+  LinkHub hub(io, settings, &a);
+  hub.Start();
+  hub.Send(at_peer, 0, CancelRun{1});
+  RunUntil(io, [&] { return b.messages.size() == 1; });
+  RunFor(io, 150);
+  hub.Send(at_peer, 0, Request(2, 10));
+  RunUntil(io, [&] { return b.messages.size() == 2; });
+  CHECK_EQUAL(0, a.not_sent);
+  CHECK_EQUAL(1U, hub.Counts().Get("link_pings_total"));
+}
+
+// A zone is cut off while the links to it are idle. One request finds a silent
+// peer; the others must be found before requests are sent to them.
+TEST(link, onePeerIsSilent_idleLinksAreChecked) {
+  boost::asio::io_context io;
+  Recorder a;
+  Recorder b;
+  LinkSettings settings;
+  settings.secret = kSecret;
+  LinkHub peer(io, settings, &b);
+  LinkHub other(io, settings, &b);
+  soak::LoopbackProxy proxy(io, kProxyEndpoint, *ValueOf(peer.Start()));
+  soak::LoopbackProxy other_proxy(io, kOtherProxyEndpoint,
+                                  *ValueOf(other.Start()));
+  CHECK(ValueOf(proxy.Start()) != nullptr);
+  CHECK(ValueOf(other_proxy.Start()) != nullptr);
+  LinkHub hub(io, settings, &a);
+  hub.Start();
+  hub.Send(kProxyEndpoint.Text(), 0, CancelRun{1});
+  hub.Send(kOtherProxyEndpoint.Text(), 0, CancelRun{2});
+  RunUntil(io, [&] { return b.messages.size() == 2; });
+  proxy.SetFault(soak::ProxyFault::kStall);
+  other_proxy.SetFault(soak::ProxyFault::kStall);
+  hub.Send(kProxyEndpoint.Text(), 0, Request(3, 10));
+  RunUntil(io, [&] { return a.silent.size() == 2; });
+}
+
+// Most links of a large fleet are idle: they must cost no messages.
+TEST(link, linkIsIdle_isNotPinged) {
+  boost::asio::io_context io;
+  Recorder a;
+  Recorder b;
+  LinkSettings settings;
+  settings.secret = kSecret;
+  LinkHub peer(io, settings, &b);
+  std::string at_peer = ValueOf(peer.Start())->Text();
+  LinkHub hub(io, settings, &a);
+  hub.Start();
+  hub.Send(at_peer, 0, CancelRun{1});
+  RunUntil(io, [&] { return b.messages.size() == 1; });
+  RunFor(io, 600);
+  CHECK_EQUAL(0U, hub.Counts().Get("link_pings_total"));
+  hub.Send(at_peer, 0, Request(2, 10));
+  RunFor(io, 800);
+  CHECK(hub.Counts().Get("link_pings_total") >= 2U);
+}
+
 TEST(link, gossipSocket_deliversDatagramsAndCountsForeignOnes) {
   boost::asio::io_context io;
   std::vector<Datagram> got;
