HTTP client: responses without end are cut off, memory of all connections is bounded

Cause: a backend server in trouble may send bytes until the caller closes. Limits were per response only, and 64 MB: one connection would take a third of the memory of a 160 MB instance, a hundred connections all of it; a line between chunks had no limit at all. Interim responses (1xx) were delivered as the answer. A response too long for a link message was read whole and then not sent, so that the caller waited for its deadline.

Change: limits for the head, unparsed input, one body (3 MB, fits a link message), all bodies being received (16 MB; the longest is cut off, so short ones get through), and skipped responses. Interim responses are skipped. The run is reported as unknown, result=oversized, and is no sign of a crash.

--- a/banyanloft/http/http_client.cc
+++ b/banyanloft/http/http_client.cc
@@ -25,6 +25,11 @@
 /// before the response is read.
 constexpr size_t kMaxSequentialBodyBytes = 16 * 1024;
 
+/// Unparsed input of a connection: at least a head, or a line between the
+/// chunks of a body.
+constexpr size_t kMaxUnparsedBytes = 64 * 1024;
+constexpr int kFirstFinalStatus = 200;
+
 using SteadyTime = std::chrono::steady_clock::time_point;
 
 }  // namespace
@@ -44,6 +49,7 @@
   void Cancel(uint64_t id);
   void Probe(std::function<void(bool)> done);
   void Close();
+  size_t BufferedBodyBytes() const { return buffered_body_bytes_; }
 
  private:
   class Connection;
@@ -60,6 +66,7 @@
   void OnIdle(const std::shared_ptr<Connection>& connection);
   void OnClosed();
   void StartNext();
+  void LimitBufferedBodies();
   static void Fail(Job job, HttpFailure failure) {
     HttpOutcome outcome;
     outcome.failure = failure;
@@ -70,6 +77,7 @@
   HttpClientSettings settings_;
   Tcp::endpoint endpoint_;
   size_t open_connections_ = 0;
+  size_t buffered_body_bytes_ = 0;  ///< Sum over the busy connections.
   bool closed_ = false;
   std::vector<std::shared_ptr<Connection>> idle_;
   std::unordered_map<uint64_t, std::shared_ptr<Connection>> busy_;
@@ -81,7 +89,9 @@
     : public std::enable_shared_from_this<Connection> {
  public:
   explicit Connection(std::shared_ptr<Impl> client)
-      : client_(std::move(client)), stream_(client_->io_) {}
+      : client_(std::move(client)),
+        stream_(client_->io_),
+        buffer_(kMaxUnparsedBytes) {}
 
   void Connect(Job job) {
     job_ = std::move(job);
@@ -121,6 +131,10 @@
     beast::error_code ignored;
     stream_.socket().close(ignored);
   }
+  /// Bytes of the response body received so far.
+  size_t BufferedBytes() const { return buffered_bytes_; }
+  /// Closes the connection because its response takes too much memory.
+  void CutOff() { Finish(HttpFailure::kTooLarge); }
   /// Whether the connection has been idle for longer than allowed.
   bool IdleExpired() const {
     return std::chrono::steady_clock::now() - idle_since_ >=
@@ -148,6 +162,7 @@
     PrepareParser();
     stream_.expires_at(job_->deadline);
     written_ = false;
+    skipped_ = 0;
     bool long_body = request.body.size() > kMaxSequentialBodyBytes;
     bhttp::async_write(stream_, *message_,
                        [self = shared_from_this(), long_body](
@@ -167,20 +182,41 @@
   }
 
   void PrepareParser() {
+    SetBufferedBytes(0);
     parser_.emplace();
+    parser_->header_limit(
+        static_cast<uint32_t>(client_->settings_.max_head_bytes));
     parser_->body_limit(client_->settings_.max_body_bytes);
   }
 
+  /// Reads piece by piece, so that the memory of all connections together stays
+  /// bounded while the responses arrive.
   void ReadResponse() {
-    bhttp::async_read(
+    bhttp::async_read_some(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](beast::error_code error, size_t) {
           if (!self->job_) return;
           if (error) return self->Finish(self->FailureOf(error));
-          self->Deliver();
+          if (self->parser_->is_done()) return self->Deliver();
+          self->SetBufferedBytes(self->parser_->get().body().size());
+          self->client_->LimitBufferedBodies();
+          if (self->job_) self->ReadResponse();
         });
   }
 
+  void SetBufferedBytes(size_t bytes) {
+    client_->buffered_body_bytes_ += bytes - buffered_bytes_;
+    buffered_bytes_ = bytes;
+  }
+
+  /// Drops a response that is not the awaited one and reads the next.
+  void SkipResponse() {
+    if (++skipped_ > client_->settings_.max_skipped_responses)
+      return Finish(HttpFailure::kBroken);
+    PrepareParser();
+    ReadResponse();
+  }
+
   HttpFailure FailureOf(beast::error_code error) const {
     if (cancelled_) return HttpFailure::kCancelled;
     if (error == beast::error::timeout) return HttpFailure::kTimeout;
@@ -189,6 +225,8 @@
   }
 
   void Deliver() {
+    if (parser_->get().result_int() < kFirstFinalStatus) return SkipResponse();
+    SetBufferedBytes(0);
     bool delimited_by_close = parser_->need_eof();
     bhttp::response<bhttp::string_body> message = parser_->release();
     HttpOutcome outcome;
@@ -203,8 +241,7 @@
     if (job_->matcher && !job_->matcher(outcome.response)) {
       desynchronized_ = true;
       if (delimited_by_close) return Finish(HttpFailure::kBroken);
-      PrepareParser();
-      return ReadResponse();
+      return SkipResponse();
     }
 
     Job job = std::move(*job_);
@@ -246,6 +283,7 @@
   void Finish(HttpFailure failure) {
     if (!job_) return;
     CloseSocket();
+    SetBufferedBytes(0);
     Job job = std::move(*job_);
     job_.reset();
     client_->busy_.erase(job.id);
@@ -262,6 +300,8 @@
   std::optional<Job> job_;
   SteadyTime idle_since_;
   int64_t idle_limit_ms_ = 0;
+  size_t buffered_bytes_ = 0;
+  int skipped_ = 0;       ///< Responses skipped before the awaited one.
   bool written_ = false;  ///< The whole request was written to the socket.
   bool desynchronized_ =
       false;  ///< Carried a response that belongs to no request.
@@ -333,6 +373,19 @@
   });
 }
 
+/// Fails the request whose response body is the longest while all of them
+/// together exceed the limit.
+void HttpClient::Impl::LimitBufferedBodies() {
+  while (buffered_body_bytes_ > settings_.max_total_body_bytes) {
+    auto longest = std::max_element(
+        busy_.begin(), busy_.end(), [](const auto& a, const auto& b) {
+          return a.second->BufferedBytes() < b.second->BufferedBytes();
+        });
+    std::shared_ptr<Connection> connection = longest->second;
+    connection->CutOff();
+  }
+}
+
 void HttpClient::Impl::Cancel(uint64_t id) {
   auto it = busy_.find(id);
   if (it != busy_.end()) return it->second->Cancel();
@@ -373,6 +426,9 @@
               std::move(matcher));
 }
 void HttpClient::Cancel(uint64_t id) { impl_->Cancel(id); }
+size_t HttpClient::BufferedBodyBytes() const {
+  return impl_->BufferedBodyBytes();
+}
 void HttpClient::Probe(std::function<void(bool)> done) {
   impl_->Probe(std::move(done));
 }
--- a/banyanloft/http/http_client.h
+++ b/banyanloft/http/http_client.h
@@ -20,15 +20,23 @@
   int64_t idle_timeout_ms =
       30000;  ///< Idle connections are not reused after this time, in ms, or
               ///< sooner if the server states a shorter one.
+  size_t max_head_bytes = 16 * 1024;  ///< Largest response head, in bytes.
   size_t max_body_bytes =
       4 * 1024 * 1024;  ///< Largest response body, in bytes.
+  /// Bytes of response bodies that are being received on all connections
+  /// together, above which the request with the longest one is failed. Bounds
+  /// the memory that a server can take by sending without end.
+  size_t max_total_body_bytes = 32 * 1024 * 1024;
+  /// Responses on a connection, before the one that is awaited, after which the
+  /// request is failed: interim ones and those that belong to no request.
+  int max_skipped_responses = 8;
 };
 
 /// Why a request got no response.
 enum class HttpFailure : uint8_t {
   kNotSent,    ///< No byte of it was written.
   kBroken,     ///< The connection failed or the response was malformed.
-  kTooLarge,   ///< The response body exceeds the limit.
+  kTooLarge,   ///< The response body exceeds a limit.
   kTimeout,    ///< No complete response in time; the connection is closed.
   kCancelled,  ///< Cancelled; the connection is closed.
 };
@@ -60,6 +68,8 @@
   /// Cancels a request; its callback receives kCancelled, or kNotSent if
   /// nothing was sent yet.
   void Cancel(uint64_t id);
+  /// Bytes of response bodies that are being received now.
+  size_t BufferedBodyBytes() const;
   /// Tries to connect and reports whether the server accepted the connection.
   void Probe(std::function<void(bool up)> done);
 
--- a/banyanloft/mesh/backend_client.cc
+++ b/banyanloft/mesh/backend_client.cc
@@ -18,8 +18,9 @@
       return RunResult::Type::kTimeout;
     case HttpFailure::kCancelled:
       return RunResult::Type::kCancelled;
-    case HttpFailure::kBroken:
     case HttpFailure::kTooLarge:
+      return RunResult::Type::kOversized;
+    case HttpFailure::kBroken:
       break;
   }
   return RunResult::Type::kBroken;
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -29,6 +29,7 @@
     case RunResult::Type::kAnswered:
     case RunResult::Type::kBroken:
     case RunResult::Type::kGarbled:
+    case RunResult::Type::kOversized:
       break;
   }
   return ErrorKind::kBackendBroken;
@@ -43,9 +44,9 @@
 }  // namespace
 
 const char* NameOf(RunResult::Type type) {
-  constexpr std::array<const char*, 8> kNames = {
-      "answered", "rejected", "misplaced", "not_sent",
-      "broken",   "garbled",  "timeout",   "cancelled"};
+  constexpr std::array<const char*, 9> kNames = {
+      "answered", "rejected",  "misplaced", "not_sent", "broken",
+      "garbled",  "oversized", "timeout",   "cancelled"};
   return kNames[static_cast<size_t>(type)];
 }
 
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -87,6 +87,7 @@
     kNotSent,    ///< Nothing of the request was sent: it never ran.
     kBroken,     ///< The connection closed before the response was complete.
     kGarbled,    ///< The response does not belong to the request.
+    kOversized,  ///< The response exceeds a limit, perhaps without end.
     kTimeout,    ///< No complete response in time.
     kCancelled,  ///< Cancelled by CancelRunOnBackend.
   };
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -36,6 +36,12 @@
 /// writes.
 constexpr size_t kStoreConnections = 4;
 constexpr size_t kControlConnections = 16;
+/// Longest response body of the backend server, in bytes: with its head it must
+/// fit into one message between daemons.
+constexpr size_t kMaxResponseBytes = 3 * 1024 * 1024;
+/// Response bodies that are being received at any time, in bytes: a tenth of
+/// the memory of the smallest instances.
+constexpr size_t kMaxBufferedResponseBytes = 16 * 1024 * 1024;
 
 /// Total time that the machine has spent suspended, in ms.
 int64_t SuspendedMs() {
@@ -216,7 +222,8 @@
   backend.server = settings_.backend;
   backend.max_connections = settings_.max_backend_connections;
   backend.idle_timeout_ms = settings_.backend_idle_ms;
-  backend.max_body_bytes = ClientLimits().max_body_bytes;
+  backend.max_body_bytes = kMaxResponseBytes;
+  backend.max_total_body_bytes = kMaxBufferedResponseBytes;
   BackendClientListener* results = this;
   backend_ = std::make_unique<BackendClient>(
       io_, backend, settings_.probe_timeout_ms, protocol_, results);
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -199,6 +199,7 @@
                        {RunResult::Type::kNotSent, RunState::kNotRun},
                        {RunResult::Type::kBroken, RunState::kUnknown},
                        {RunResult::Type::kGarbled, RunState::kUnknown},
+                       {RunResult::Type::kOversized, RunState::kUnknown},
                        {RunResult::Type::kTimeout, RunState::kUnknown}};
   for (const Row& row : kRows) {
     setup();
--- /dev/null
+++ b/tests/http_endless_response_test.cc
@@ -0,0 +1,223 @@
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <map>
+#include <memory>
+#include <thread>
+
+#include "banyanloft/http/http_client.h"
+
+using namespace banyanloft;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr size_t kMaxBodyBytes = 512 * 1024;
+constexpr size_t kMaxTotalBodyBytes = 1024 * 1024;
+constexpr char kSoundPath[] = "/sound";
+constexpr char kSoundResponse[] =
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound";
+
+/// A response that never ends: `start` once, then `repeat` until the client
+/// closes the connection.
+struct EndlessResponse {
+  const char* start;
+  const char* repeat;
+};
+
+const std::map<std::string, EndlessResponse>& EndlessResponses() {
+  static const std::map<std::string, EndlessResponse> kResponses = {
+      {"/status-line", {"", "no status line "}},
+      {"/header-value", {"HTTP/1.1 200 OK\r\nX-Long: ", "aaaaaaaaaaaaaaaa"}},
+      {"/header-lines", {"HTTP/1.1 200 OK\r\n", "X-More: 1\r\n"}},
+      {"/body-until-close", {"HTTP/1.1 200 OK\r\n\r\n", "bytes of a body "}},
+      {"/body-longer-than-memory",
+       {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "bytes "}},
+      {"/body-chunks",
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "10\r\n0123456789abcdef\r\n"}},
+      {"/chunk-extension",
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=",
+        "aaaaaaaaaaaaaaaa"}},
+      {"/trailer-lines",
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        "X-Trailer: 1\r\n"}},
+      {"/interim-responses", {"", "HTTP/1.1 100 Continue\r\n\r\n"}},
+      {"/responses-of-others",
+       {"", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nothers"}},
+  };
+  return kResponses;
+}
+
+/// Server that sends the endless response that the path names.
+class EndlessServer {
+ public:
+  EndlessServer()
+      : acceptor_(io_, Tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+    Accept();
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  ~EndlessServer() {
+    io_.stop();
+    thread_.join();
+  }
+  uint16_t Port() const { return acceptor_.local_endpoint().port(); }
+
+ private:
+  struct Connection {
+    explicit Connection(Tcp::socket accepted) : socket(std::move(accepted)) {}
+    Tcp::socket socket;
+    std::string input;
+    std::string output;
+    std::string repeat;
+  };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  void Accept() {
+    acceptor_.async_accept(
+        [this](boost::system::error_code error, Tcp::socket socket) {
+          if (error) return;
+          Read(std::make_shared<Connection>(std::move(socket)));
+          Accept();
+        });
+  }
+  void Read(const ConnectionPtr& connection) {
+    asio::async_read_until(
+        connection->socket, asio::dynamic_buffer(connection->input), "\r\n\r\n",
+        [this, connection](boost::system::error_code error, size_t) {
+          if (!error) Respond(connection);
+        });
+  }
+  void Respond(const ConnectionPtr& connection) {
+    constexpr size_t kRepeatBytes = 32 * 1024;
+    size_t begin = connection->input.find(' ') + 1;
+    std::string path = connection->input.substr(
+        begin, connection->input.find(' ', begin) - begin);
+    connection->output = kSoundResponse;
+    auto found = EndlessResponses().find(path);
+    if (found != EndlessResponses().end()) {
+      connection->output = found->second.start;
+      while (connection->repeat.size() < kRepeatBytes)
+        connection->repeat += found->second.repeat;
+    }
+    Write(connection);
+  }
+  void Write(const ConnectionPtr& connection) {
+    asio::async_write(
+        connection->socket, asio::buffer(connection->output),
+        [this, connection](boost::system::error_code error, size_t) {
+          if (error) return;
+          connection->output = connection->repeat;
+          if (!connection->repeat.empty()) Write(connection);
+        });
+  }
+
+  asio::io_context io_;
+  Tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+}  // namespace
+
+/// A backend server in trouble sends bytes without end. The client must close
+/// the connection in time, with bounded memory, and must not call the request
+/// unsent.
+TEST_GROUP(http_endless_response) {
+  EndlessServer server_;
+  asio::io_context io_;
+  std::unique_ptr<HttpClient> client_;
+  std::map<uint64_t, HttpOutcome> outcomes_;
+  size_t max_buffered_ = 0;
+
+  void setup() override {
+    HttpClientSettings settings;
+    settings.server.port = server_.Port();
+    settings.max_body_bytes = kMaxBodyBytes;
+    settings.max_total_body_bytes = kMaxTotalBodyBytes;
+    client_ = std::make_unique<HttpClient>(io_, settings);
+  }
+  void Send(uint64_t id, const std::string& path, int64_t timeout_ms) {
+    HttpRequest request;
+    request.method = "GET";
+    request.target = path;
+    client_->Send(
+        id, request, timeout_ms,
+        [this, id](HttpOutcome outcome) { outcomes_[id] = std::move(outcome); },
+        [](const HttpResponse& response) { return response.body != "others"; });
+  }
+  /// Runs until `count` requests have ended.
+  void RunUntilEnded(size_t count) {
+    auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (outcomes_.size() < count &&
+           std::chrono::steady_clock::now() < limit) {
+      io_.restart();
+      io_.run_one_for(std::chrono::milliseconds(1));
+      max_buffered_ = std::max(max_buffered_, client_->BufferedBodyBytes());
+    }
+    CHECK_EQUAL(count, outcomes_.size());
+  }
+};
+
+TEST(http_endless_response, anyPart_isCutOffLongBeforeTheDeadline) {
+  constexpr int64_t kDeadlineMs = 20000;
+  for (const auto& [path, response] : EndlessResponses()) {
+    outcomes_.clear();
+    auto began = std::chrono::steady_clock::now();
+    Send(1, path, kDeadlineMs);
+    RunUntilEnded(1);
+    auto took = std::chrono::steady_clock::now() - began;
+    std::string where = path;
+    CHECK_TEXT(outcomes_[1].failure.has_value(), where.c_str());
+    bool told_unknown = outcomes_[1].failure == HttpFailure::kBroken ||
+                        outcomes_[1].failure == HttpFailure::kTooLarge;
+    CHECK_TEXT(told_unknown, where.c_str());
+    CHECK_TEXT(took < std::chrono::milliseconds(kDeadlineMs / 4),
+               where.c_str());
+    outcomes_.clear();
+    Send(2, kSoundPath, kDeadlineMs);
+    RunUntilEnded(1);
+    CHECK_TEXT(outcomes_[2].response.body == "sound", where.c_str());
+  }
+}
+
+TEST(http_endless_response, manyAtOnce_memoryIsBoundedAndOthersAreAnswered) {
+  constexpr size_t kEndless = 40;
+  constexpr size_t kReadBytes = 64 * 1024;
+  for (uint64_t id = 1; id <= kEndless; ++id)
+    Send(id, "/body-until-close", 20000);
+  Send(kEndless + 1, kSoundPath, 20000);
+  RunUntilEnded(kEndless + 1);
+  for (uint64_t id = 1; id <= kEndless; ++id)
+    CHECK(outcomes_[id].failure == HttpFailure::kTooLarge);
+  CHECK(outcomes_[kEndless + 1].response.body == "sound");
+  CHECK(max_buffered_ <= kMaxTotalBodyBytes + kReadBytes);
+}
+
+TEST(http_endless_response, interimResponse_isSkippedAndNotDelivered) {
+  asio::io_context io;
+  Tcp::acceptor acceptor(io,
+                         Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  uint16_t port = acceptor.local_endpoint().port();
+  std::thread peer([&] {
+    Tcp::socket socket(io);
+    acceptor.accept(socket);
+    std::array<char, 4096> input{};
+    socket.read_some(asio::buffer(input));
+    asio::write(socket,
+                asio::buffer(std::string("HTTP/1.1 100 Continue\r\n\r\n") +
+                             kSoundResponse));
+  });
+  HttpClientSettings settings;
+  settings.server.port = port;
+  client_ = std::make_unique<HttpClient>(io_, settings);
+  Send(1, kSoundPath, 2000);
+  RunUntilEnded(1);
+  peer.join();
+  CHECK_EQUAL(200, outcomes_[1].response.status);
+  CHECK(outcomes_[1].response.body == "sound");
+}
