Membership: gossip mostly within the zone, fewer repeats of an update

Change: a round goes to one member of the own zone and one of any zone; an update is repeated 3 + log2 n times. Digests bring the rest, as before.

Test: membership/update_isMostlySentWithinTheZone; those on loss, partitions and restarts of the whole fleet hold.

--- a/banyanloft/membership/membership.cc
+++ b/banyanloft/membership/membership.cc
@@ -11,7 +11,6 @@
 constexpr int64_t kForgetPeriodMs = 60000;
 constexpr int64_t kRelayLifeMs = 5000;
 constexpr int64_t kAssumedAgeMs = 3600000;
-constexpr int kTransmissionFactor = 3;
 /// Local health factor at which the suspicion time-out is doubled.
 constexpr int kSuspicionAwareness = 4;
 constexpr size_t kNearHelpers = 2;
@@ -493,14 +492,29 @@
 
 void Membership::SendUpdates(TimeMs, std::vector<DatagramOut>* out) {
   if (pending_updates_.empty() && pending_crash_suspicions_.empty()) return;
-  for (const MemberRecord* peer :
-       RandomAlive(static_cast<size_t>(settings_.gossip_fanout))) {
+  for (const MemberRecord* peer : GossipPeers()) {
     Datagram datagram = Make(DatagramType::kUpdates);
     AttachUpdates(&datagram);
+    const char* zone = peer->zone == self_.zone ? "same" : "other";
+    counters_.Add("membership_records_sent_total", zone,
+                  datagram.members.size());
     out->push_back({peer->gossip, std::move(datagram)});
   }
 }
 
+/// Most gossip stays in the zone: an update has to cross to another zone only a
+/// few times, and spreads there by itself.
+std::vector<const MemberRecord*> Membership::GossipPeers() {
+  std::vector<const MemberRecord*> peers = RandomAlive(
+      static_cast<size_t>(settings_.gossip_fanout_same_zone), self_.zone);
+  for (const MemberRecord* peer :
+       RandomAlive(static_cast<size_t>(settings_.gossip_fanout_any_zone))) {
+    bool selected = std::find(peers.begin(), peers.end(), peer) != peers.end();
+    if (!selected) peers.push_back(peer);
+  }
+  return peers;
+}
+
 /// Sends a digest to one member: often until digests match, rarely afterwards.
 void Membership::SendDigest(TimeMs now, std::vector<DatagramOut>* out) {
   int64_t period_ms = last_digest_matched_ ? settings_.digest_period_ms
@@ -641,10 +655,12 @@
   }
 }
 
+/// Enough for an update to reach nearly every member by random gossip; digests
+/// bring it to the others.
 int Membership::MaxTransmissions() const {
-  return kTransmissionFactor *
-         (1 + static_cast<int>(
-                  std::ceil(std::log2(static_cast<double>(AliveCount() + 1)))));
+  constexpr int kExtraTransmissions = 3;
+  return kExtraTransmissions + static_cast<int>(std::ceil(std::log2(
+                                   static_cast<double>(AliveCount() + 1))));
 }
 
 void Membership::SetAwareness(int value) {
--- a/banyanloft/membership/membership.h
+++ b/banyanloft/membership/membership.h
@@ -24,7 +24,9 @@
       5000;                   ///< Suspicion time-out with one reporter, in ms.
   int reporters_for_min = 3;  ///< Reporters that give the shortest time-out.
   int64_t gossip_period_ms = 200;  ///< Interval of gossip rounds, in ms.
-  int gossip_fanout = 2;  ///< Random members that a gossip round is sent to.
+  /// Random members of the own zone that a gossip round is sent to.
+  int gossip_fanout_same_zone = 1;
+  int gossip_fanout_any_zone = 1;    ///< The same, of all zones.
   size_t updates_per_datagram = 8;   ///< Maximum records per datagram.
   int64_t digest_period_ms = 10000;  ///< Interval of digest exchanges, in ms.
   int64_t join_period_ms = 250;      ///< Interval until digests match, in ms.
@@ -154,6 +156,7 @@
   void StartProbe(TimeMs now, std::vector<DatagramOut>* out);
   void SendIndirect(TimeMs now, std::vector<DatagramOut>* out);
   MemberId NextProbeTarget();
+  std::vector<const MemberRecord*> GossipPeers();
   void SendUpdates(TimeMs now, std::vector<DatagramOut>* out);
   void SendDigest(TimeMs now, std::vector<DatagramOut>* out);
   void SendDigestTo(const std::string& to, std::vector<DatagramOut>* out);
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -224,3 +224,46 @@
   });
   CHECK(holds);
 }
+
+/// Traffic between zones is dear: an update must be repeated often enough to
+/// reach the fleet, but only a few times across zones by each member.
+TEST(membership, update_isMostlySentWithinTheZone) {
+  constexpr size_t kMembers = 60;
+  constexpr size_t kZones = 3;
+  auto record_of = [](size_t i) {
+    return NewMember(i + 1, "z" + std::to_string(i % kZones),
+                     "10.0.0." + std::to_string(i) + ":1",
+                     "10.0.0." + std::to_string(i) + ":2");
+  };
+  Membership membership(MembershipSettings(), record_of(0), 3, TimeMs(0),
+                        nullptr);
+  std::map<std::string, std::string> zones;
+  Datagram known;
+  known.from = 2;
+  known.type = DatagramType::kUpdates;
+  for (size_t i = 1; i < kMembers; ++i) {
+    known.members.push_back(record_of(i));
+    zones[record_of(i).gossip] = record_of(i).zone;
+  }
+  std::vector<DatagramOut> out;
+  membership.OnDatagram(TimeMs(0), known, &out);
+  TimeMs now(0);
+  for (; now < TimeMs(20000); now = now + 50) membership.Tick(now, &out);
+  out.clear();
+  membership.Announce(now, MemberState::kDraining, "s", 4);
+  size_t same_zone = 0;
+  size_t other_zone = 0;
+  for (TimeMs end = now + 5000; now < end; now = now + 50) {
+    out.clear();
+    membership.Tick(now, &out);
+    for (const DatagramOut& sent : out) {
+      if (sent.datagram.type != DatagramType::kUpdates) continue;
+      for (const MemberRecord& record : sent.datagram.members) {
+        if (record.id != 1) continue;
+        ++(zones[sent.to] == "z0" ? same_zone : other_zone);
+      }
+    }
+  }
+  CHECK(same_zone + other_zone >= 6);  // log2 of the members.
+  CHECK(other_zone <= 6);
+}
