Instance registry: first report after a restart of the daemon is completed or confirmed

(2) A new daemon believed the first report that it saw. If that was a late one, a server whose leaving its predecessor had acknowledged was in use again.

Change: a report completes what a health check told. Until a second report, a new start or a health check confirms the server, an answer to the health check other than healthy keeps it out of use; at worst this costs one period of reports.

--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -350,7 +350,10 @@
     OnCrash(now, actions);
     return MarkInstanceUnreachable(now, actions);
   }
-  if (instance.empty()) return;
+  if (instance.empty()) {
+    if (registry_.OnUnhealthy()) MarkInstanceUnreachable(now, actions);
+    return;
+  }
   bool other = !registry_.Last().id.empty() && registry_.Last().id != instance;
   if (other) registry_.OnUnreachable();
   OnInstanceChange(now, registry_.OnHealthy(now, instance, settings_.service),
--- a/banyanloft/mesh/instance_registry.cc
+++ b/banyanloft/mesh/instance_registry.cc
@@ -24,6 +24,13 @@
   return report.sequence > max_reports;
 }
 
+/// Whether the server accepts requests but its start is unknown: its first
+/// report completes what the health check told and is no sign of a restart.
+bool InstanceRegistry::IsKnownByHealthCheckOnly() const {
+  return last_.start_time_ms == 0 && last_.sequence == 0 &&
+         state_ == InstanceState::kReady;
+}
+
 InstanceRegistry::Change InstanceRegistry::OnReport(
     TimeMs now, const InstanceReport& report) {
   if (report.address != address_) return Change::kIgnored;
@@ -33,7 +40,8 @@
     return Change::kIgnored;
   }
   bool same_start =
-      report.id == last_.id && report.start_time_ms == last_.start_time_ms;
+      report.id == last_.id && (report.start_time_ms == last_.start_time_ms ||
+                                IsKnownByHealthCheckOnly());
   if (same_start) {
     if (report.sequence <= last_.sequence) return Change::kIgnored;
     if (state_ == InstanceState::kGone) return Change::kIgnored;
@@ -48,8 +56,13 @@
   last_ = report;
   // Draining is final until the backend server starts again.
   bool stays_draining = same_start && state_ == InstanceState::kDraining;
-  state_ = report.draining || stays_draining ? InstanceState::kDraining
-                                             : InstanceState::kReady;
+  confirmed_ = confirmed_ || was_known;
+  if (report.draining || stays_draining) {
+    state_ = InstanceState::kDraining;
+  } else {
+    state_ = confirmed_ || !unhealthy_ ? InstanceState::kReady
+                                       : InstanceState::kUnknown;
+  }
   if (was_known && !same_start) return Change::kStarted;
   bool same = was_known && state_ == state_before &&
               before.slots == last_.slots && before.service == last_.service;
@@ -66,6 +79,12 @@
   return changed ? Change::kUpdated : Change::kNone;
 }
 
+bool InstanceRegistry::OnUnhealthy() {
+  if (confirmed_) return false;
+  unhealthy_ = true;
+  return state_ == InstanceState::kReady;
+}
+
 InstanceRegistry::Change InstanceRegistry::OnHealthy(
     TimeMs now, const std::string& id, const std::string& service) {
   if (state_ != InstanceState::kUnknown) return Change::kNone;
@@ -73,6 +92,7 @@
     // The backend server restarted; its own reports supply the rest.
     last_ = InstanceReport();
   }
+  confirmed_ = true;
   last_.id = id;
   last_.address = address_;
   if (last_.service.empty()) last_.service = service;
--- a/banyanloft/mesh/instance_registry.h
+++ b/banyanloft/mesh/instance_registry.h
@@ -62,6 +62,10 @@
   void OnUnreachable() {
     if (state_ == InstanceState::kReady) state_ = InstanceState::kUnknown;
   }
+  /// A health check was answered, but the server does not report itself
+  /// healthy: it may be leaving. Returns true if it was in use by a single
+  /// report, which may be a late one and no longer counts.
+  bool OnUnhealthy();
   /// A health check succeeded and returned this id. Has an effect only while
   /// the state is unknown.
   Change OnHealthy(TimeMs now, const std::string& id,
@@ -73,12 +77,18 @@
   TimeMs ReportedAt() const { return reported_at_; }
 
  private:
+  bool IsKnownByHealthCheckOnly() const;
   bool PrecedesDeregistration(TimeMs now, const InstanceReport& report) const;
 
   std::string address_;
   int64_t heartbeat_ms_;  ///< Expected period of reports, in ms.
   InstanceState state_ = InstanceState::kUnknown;
   InstanceReport last_;
+  /// A second report, a new start or a health check showed that the server is
+  /// in service. Until then a first report may be older than its leaving, which
+  /// an earlier process acknowledged.
+  bool confirmed_ = false;
+  bool unhealthy_ = false;  ///< By the last health check before confirmed_.
   TimeMs reported_at_{-1000000};
 };
 
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -83,6 +83,41 @@
   CHECK(registry_.State() == InstanceState::kGone);
 }
 
+// The daemon restarts beside a running server. Taken for a restart of the
+// server, its first report would blame the runs that broke with the old daemon
+// for a crash.
+TEST(instance_registry, firstReport_afterHealthCheck_isNoRestart) {
+  registry_.OnHealthy(TimeMs(0), "i-1", "s");
+  CHECK(registry_.OnReport(TimeMs(400), ReportOf(21)) ==
+        InstanceRegistry::Change::kUpdated);
+  CHECK(registry_.State() == InstanceState::kReady);
+  CHECK(registry_.OnReport(TimeMs(900), ReportOf(1, false, 2000)) ==
+        InstanceRegistry::Change::kStarted);
+}
+
+// An earlier process acknowledged that the server leaves. Its successor knows
+// nothing of that, and the first report that it sees was sent before.
+TEST(instance_registry, firstReport_serverIsUnhealthy_isNotUsedUntilTheNext) {
+  CHECK_FALSE(registry_.OnUnhealthy());
+  registry_.OnReport(TimeMs(100), ReportOf(20));
+  CHECK(registry_.State() == InstanceState::kUnknown);
+  registry_.OnReport(TimeMs(1600), ReportOf(21));
+  CHECK(registry_.State() == InstanceState::kReady);
+}
+
+TEST(instance_registry, firstReport_serverTurnsOutUnhealthy_isWithdrawn) {
+  registry_.OnReport(TimeMs(100), ReportOf(20));
+  CHECK(registry_.State() == InstanceState::kReady);
+  CHECK(registry_.OnUnhealthy());
+}
+
+TEST(instance_registry, laterReports_unhealthyAnswer_changesNothing) {
+  registry_.OnReport(TimeMs(0), ReportOf(20));
+  registry_.OnReport(TimeMs(1500), ReportOf(21));
+  CHECK_FALSE(registry_.OnUnhealthy());
+  CHECK(registry_.State() == InstanceState::kReady);
+}
+
 TEST(instance_registry, deregistered_startUnknown_restartWithSameIdIsReady) {
   registry_.OnHealthy(TimeMs(0), "i-1", "s");
   registry_.OnDeregistered(TimeMs(500), "i-1");
@@ -189,6 +224,14 @@
   LONGS_EQUAL(0, Count<StartRun>());
 }
 
+TEST(backend_runner, daemonRestarted_lateReportOfALeavingServer_isNotRun) {
+  Report(20);
+  runner_->OnProbed(TimeMs(5), true, "", &actions_);
+  Forward(TimeMs(10), 1, false);
+  CHECK(Run(0) == nullptr);
+  CHECK(AnswerOf(1)->run_state == RunState::kNotRun);
+}
+
 TEST(backend_runner, results_reportWhetherRequestRan) {
   struct Row {
     RunResult::Type type;
