--- a/banyanloft/http/http_client.cc
+++ b/banyanloft/http/http_client.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cassert>
 #include <charconv>
 #include <deque>
 #include <optional>
@@ -28,6 +29,7 @@
 /// Unparsed input of a connection: at least a head, or a line between the
 /// chunks of a body.
 constexpr size_t kMaxUnparsedBytes = 64 * 1024;
+/// Lower statuses are interim responses.
 constexpr int kFirstFinalStatus = 200;
 
 using SteadyTime = std::chrono::steady_clock::time_point;
@@ -377,6 +379,7 @@
 /// together exceed the limit.
 void HttpClient::Impl::LimitBufferedBodies() {
   while (buffered_body_bytes_ > settings_.max_total_body_bytes) {
+    assert(!busy_.empty());
     auto longest = std::max_element(
         busy_.begin(), busy_.end(), [](const auto& a, const auto& b) {
           return a.second->BufferedBytes() < b.second->BufferedBytes();
--- a/banyanloft/links/link_hub.cc
+++ b/banyanloft/links/link_hub.cc
@@ -24,9 +24,9 @@
 constexpr int64_t kSendRetryMs = 1;
 constexpr size_t kFrameOverheadBytes = 64;
 
-/// Change of the number of open exchanges on a link that carries the message:
-/// requests that await a reply, in either direction.
-int ExchangesOpenedBy(const PeerMessage& message) {
+/// By how much a message changes the number of requests on its link that await
+/// a reply, whichever side sent them.
+int OpenExchangesChange(const PeerMessage& message) {
   if (std::holds_alternative<RunRequest>(message) ||
       std::holds_alternative<KeyRequest>(message) ||
       std::holds_alternative<PullRequest>(message) ||
@@ -259,7 +259,7 @@
 
 void LinkHub::Impl::CountExchange(Link* link, const PeerMessage& message) {
   link->open_exchanges =
-      std::max(0, link->open_exchanges + ExchangesOpenedBy(message));
+      std::max(0, link->open_exchanges + OpenExchangesChange(message));
 }
 
 LinkHub::Impl::LinkPtr LinkHub::Impl::FindLink(const std::string& peer) {
