Log the limit and the leaving that backend servers name in responses

What callers saw: a backend server got more requests than the limit it named. Change: the adapter reads both headers; the runner logs instance_limit with the number of runs started so far, instance_leaving and instance_limit_malformed, and counts them; a gauge holds the limit. No decision uses them yet. Evidence: platform_protocol/runResponses_limitAndLeaving_areRead and runResponses_ofOtherServers_carryNoNotice.

--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -51,6 +51,13 @@
      "state, slots or service of the backend server changed"},
     {"instance_crashed",
      "the backend server crashed; requests that were running"},
+    {"instance_leaving",
+     "a response says that the backend server leaves; its state"},
+    {"instance_limit",
+     "the request rate that the backend server accepts changed; limit now and "
+     "before, runs started so far"},
+    {"instance_limit_malformed",
+     "a response names a limit that is no number; its text"},
     {"instance_lost", "requests can no longer reach the backend server"},
     {"instance_report_unreadable",
      "a report of the backend server cannot be parsed; detail"},
--- a/banyanloft/mesh/backend_client.cc
+++ b/banyanloft/mesh/backend_client.cc
@@ -92,11 +92,11 @@
   client_.Send(
       kProbeIdBit | next_probe_++, protocol_->WriteProbe(""), probe_timeout_ms_,
       [this](HttpOutcome outcome) {
-        bool up = !outcome.failure || *outcome.failure == HttpFailure::kTimeout;
-        std::string instance =
-            outcome.failure ? "" : protocol_->ReadProbe(outcome.response);
-        boost::asio::post(
-            io_, [this, up, instance] { listener_->OnProbed(up, instance); });
+        ProbeResult result;
+        if (!outcome.failure) result = protocol_->ReadProbe(outcome.response);
+        result.up =
+            !outcome.failure || *outcome.failure == HttpFailure::kTimeout;
+        boost::asio::post(io_, [this, result] { listener_->OnProbed(result); });
       });
 }
 
--- a/banyanloft/mesh/backend_client.h
+++ b/banyanloft/mesh/backend_client.h
@@ -17,9 +17,7 @@
  public:
   virtual ~BackendClientListener() = default;
   virtual void OnRunEnded(RunResult result) = 0;
-  /// `up`: the server accepts connections. `instance`: its id if it reports
-  /// itself healthy, otherwise empty.
-  virtual void OnProbed(bool up, const std::string& instance) = 0;
+  virtual void OnProbed(ProbeResult result) = 0;
 };
 
 /// HTTP client of the backend server on this instance: starts and cancels runs,
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -124,6 +124,7 @@
     work.running = true;
     work.started = now;
     counters_.Add("runs_started_total");
+    ++runs_started_;
     histograms_.Add("queue_ms", work.request.route,
                     UrgencyOf(work.request.priority), now - work.arrived);
     StartRun start;
@@ -183,6 +184,7 @@
   auto it = works_.find(result.run);
   if (it == works_.end()) return;
   Work& work = it->second;
+  if (result.notice) OnNotice(*result.notice, "run", actions);
   bool answered = result.type == RunResult::Type::kAnswered;
   int64_t run_ms = answered ? now - work.started : -1;
   counters_.Add("run_results_total", NameOf(result.type));
@@ -343,10 +345,12 @@
   actions->push_back(ProbeInstance{});
 }
 
-void BackendRunner::OnProbed(TimeMs now, bool up, const std::string& instance,
+void BackendRunner::OnProbed(TimeMs now, const ProbeResult& result,
                              Actions* actions) {
   probing_ = false;
-  if (!up) {
+  const std::string& instance = result.instance;
+  if (result.notice) OnNotice(*result.notice, "health_check", actions);
+  if (!result.up) {
     OnCrash(now, actions);
     return MarkInstanceUnreachable(now, actions);
   }
@@ -360,6 +364,43 @@
                    actions);
 }
 
+/// Logs what changed in the backend server's notice.
+void BackendRunner::OnNotice(const BackendNotice& notice, const char* source,
+                             Actions* actions) {
+  auto text = [](const std::optional<double>& limit) {
+    return limit ? std::to_string(*limit) : std::string("none");
+  };
+  if (!notice.malformed_limit.empty()) {
+    counters_.Add("backend_limits_malformed_total");
+    actions->push_back(LogRecord{
+        LogLevel::kWarning,
+        "instance_limit_malformed",
+        {{"instance", registry_.Last().id}, {"text", notice.malformed_limit}}});
+  } else if (notice.limit_per_s != limit_per_s_) {
+    counters_.Add("backend_limit_changes_total");
+    actions->push_back(
+        LogRecord{LogLevel::kInfo,
+                  "instance_limit",
+                  {{"instance", registry_.Last().id},
+                   {"limit_per_s", text(notice.limit_per_s)},
+                   {"before", text(limit_per_s_)},
+                   {"source", source},
+                   {"runs_started", std::to_string(runs_started_)},
+                   {"running", std::to_string(admission_.Running())},
+                   {"waiting", std::to_string(admission_.Waiting())}}});
+    limit_per_s_ = notice.limit_per_s;
+  }
+  if (notice.leaving && !leaving_noticed_) {
+    counters_.Add("backend_leaving_notices_total");
+    actions->push_back(LogRecord{LogLevel::kInfo,
+                                 "instance_leaving",
+                                 {{"instance", registry_.Last().id},
+                                  {"state", NameOf(registry_.State())},
+                                  {"source", source}}});
+  }
+  leaving_noticed_ = notice.leaving;
+}
+
 /// A broken run may mean a crash; a health check decides before any request is
 /// suspected.
 void BackendRunner::RecordBrokenRun(TimeMs now, uint64_t fingerprint,
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -13,6 +13,7 @@
 #include "banyanloft/core/log.h"
 #include "banyanloft/core/random.h"
 #include "banyanloft/mesh/admission_controller.h"
+#include "banyanloft/mesh/backend_notice.h"
 #include "banyanloft/mesh/instance_registry.h"
 #include "banyanloft/mesh/mesh_message.h"
 
@@ -94,11 +95,20 @@
   uint64_t run = 0;
   Type type = Type::kAnswered;
   HttpResponse response;
+  /// Empty if no response of the expected instance arrived.
+  std::optional<BackendNotice> notice;
 };
 
 /// Name of a result as used in logs and metrics.
 const char* NameOf(RunResult::Type type);
 
+/// Result of ProbeInstance.
+struct ProbeResult {
+  bool up = false;       ///< The backend server accepts connections.
+  std::string instance;  ///< Its id if it reports itself healthy, else empty.
+  std::optional<BackendNotice> notice;  ///< Empty if there was no response.
+};
+
 /// Target side of a request: tracks the backend server on this instance, admits
 /// requests, contains crashes, and starts runs and answers them. All reasons
 /// not to run a request are checked here, before any of it is sent to the
@@ -128,10 +138,8 @@
                       Actions* actions);
   /// A run ended.
   void OnResult(TimeMs now, RunResult result, Actions* actions);
-  /// Result of ProbeInstance. `up`: the backend server accepts connections.
-  /// `instance`: its id if it reports itself healthy, otherwise empty.
-  void OnProbed(TimeMs now, bool up, const std::string& instance,
-                Actions* actions);
+  /// A health check ended.
+  void OnProbed(TimeMs now, const ProbeResult& result, Actions* actions);
   /// Merges suspicions from other daemons; returns those that were new.
   std::vector<CrashSuspicion> OnCrashSuspicions(
       TimeMs now, const std::vector<CrashSuspicion>& suspicions) {
@@ -154,6 +162,8 @@
     registry_.SetHeartbeat(heartbeat_ms);
   }
   const AdmissionController& Admission() const { return admission_; }
+  /// Requests per second that the backend server accepts, if it names a limit.
+  std::optional<double> LimitPerSecond() const { return limit_per_s_; }
   const Counters& Counts() const { return counters_; }
   const Histograms& Latencies() const { return histograms_; }
 
@@ -181,6 +191,8 @@
                         Actions* actions);
   void MarkInstanceUnreachable(TimeMs now, Actions* actions);
   void RecordBrokenRun(TimeMs now, uint64_t fingerprint, Actions* actions);
+  void OnNotice(const BackendNotice& notice, const char* source,
+                Actions* actions);
   void OnCrash(TimeMs now, Actions* actions);
   void Probe(TimeMs now, Actions* actions);
   void LogInstance(const char* event, Actions* actions);
@@ -198,6 +210,9 @@
   TimeMs broken_since_{-1000000};
   bool probing_ = false;
   TimeMs next_probe_;
+  std::optional<double> limit_per_s_;  ///< Named by the backend server.
+  bool leaving_noticed_ = false;
+  uint64_t runs_started_ = 0;
   Counters counters_;
   Histograms histograms_;
 };
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -268,10 +268,10 @@
   DispatchRunner(now, std::move(list), actions);
 }
 
-void MeshNode::OnProbed(TimeMs now, bool up, const std::string& instance,
+void MeshNode::OnProbed(TimeMs now, const ProbeResult& result,
                         Actions* actions) {
   BackendRunner::Actions list;
-  runner_.OnProbed(now, up, instance, &list);
+  runner_.OnProbed(now, result, &list);
   DispatchRunner(now, std::move(list), actions);
 }
 
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -96,8 +96,7 @@
   void OnDeregistered(TimeMs now, const std::string& instance,
                       Actions* actions);
   void OnResult(TimeMs now, RunResult result, Actions* actions);
-  void OnProbed(TimeMs now, bool up, const std::string& instance,
-                Actions* actions);
+  void OnProbed(TimeMs now, const ProbeResult& result, Actions* actions);
   /// This process was suspended for `paused_ms`.
   void OnProcessSuspended(TimeMs now, int64_t paused_ms, Actions* actions);
   /// Applies the settings that need no restart. Must not be called during a
--- a/banyanloft/mesh/protocol_adapter.h
+++ b/banyanloft/mesh/protocol_adapter.h
@@ -41,9 +41,8 @@
 
   /// Formats the health check, which also asks a backend server for its id.
   virtual HttpRequest WriteProbe(const std::string& health_path) const = 0;
-  /// The id in a health check's response; empty if the server does not report
-  /// itself healthy.
-  virtual std::string ReadProbe(const HttpResponse& answer) const = 0;
+  /// Parses a health check's response.
+  virtual ProbeResult ReadProbe(const HttpResponse& answer) const = 0;
   /// Parses a backend server's message; an error if it is malformed.
   virtual Result<InstanceMessage> ReadInstanceMessage(
       const HttpRequest& request) const = 0;
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -139,7 +139,7 @@
   void RunStep(const std::function<void(TimeMs, MeshNode::Actions*)>& step);
   void Execute(MeshNodeAction action);
   void OnRunEnded(RunResult result) override;
-  void OnProbed(bool up, const std::string& instance) override;
+  void OnProbed(ProbeResult result) override;
   void CallStore(PlatformCall call);
   void DetectSuspension(TimeMs now);
   void ApplyTable();
@@ -447,6 +447,9 @@
        static_cast<double>(node_->Runner().Admission().Running())},
       {"runs_waiting", "Requests that wait for a slot now",
        static_cast<double>(node_->Runner().Admission().Waiting())},
+      {"backend_limit_per_s",
+       "Requests per second that the backend server accepts; -1: no limit",
+       node_->Runner().LimitPerSecond().value_or(-1.0)},
       {"log_lines_dropped", "Log lines dropped since the start",
        static_cast<double>(DroppedLogLines())},
       {"ready", "1 if clients should send new work here",
@@ -497,9 +500,9 @@
   });
 }
 
-void Sidecar::Impl::OnProbed(bool up, const std::string& instance) {
+void Sidecar::Impl::OnProbed(ProbeResult result) {
   RunStep([&](TimeMs now, MeshNode::Actions* actions) {
-    node_->OnProbed(now, up, instance, actions);
+    node_->OnProbed(now, result, actions);
   });
 }
 
--- a/tests/backend_client_test.cc
+++ b/tests/backend_client_test.cc
@@ -46,7 +46,7 @@
 class Results final : public BackendClientListener {
  public:
   void OnRunEnded(RunResult result) override { types.push_back(result.type); }
-  void OnProbed(bool, const std::string&) override {}
+  void OnProbed(ProbeResult) override {}
   std::vector<RunResult::Type> types;
 };
 
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -226,7 +226,7 @@
 
 TEST(backend_runner, daemonRestarted_lateReportOfALeavingServer_isNotRun) {
   Report(20);
-  runner_->OnProbed(TimeMs(5), true, "", &actions_);
+  runner_->OnProbed(TimeMs(5), ProbeResult{true, "", {}}, &actions_);
   Forward(TimeMs(10), 1, false);
   CHECK(Run(0) == nullptr);
   CHECK(AnswerOf(1)->run_state == RunState::kNotRun);
@@ -319,7 +319,7 @@
   CHECK(AnswerOf(3)->error == ErrorKind::kBackendUnavailable);
   LONGS_EQUAL(1, Count<ProbeInstance>());
   CHECK(runner_->State() == InstanceState::kUnknown);
-  runner_->OnProbed(TimeMs(60), true, "i-1", &actions_);
+  runner_->OnProbed(TimeMs(60), ProbeResult{true, "i-1", {}}, &actions_);
   CHECK(runner_->State() == InstanceState::kReady);
 }
 
@@ -330,7 +330,7 @@
     size_t n = Count<StartRun>();
     Forward(now, static_cast<uint64_t>(crash) + 1, false, "poison");
     End(n, RunResult::Type::kBroken, now + 10);
-    runner_->OnProbed(now + 20, false, "", &actions_);
+    runner_->OnProbed(now + 20, ProbeResult{false, "", {}}, &actions_);
     now = now + 3000;
     runner_->OnReport(now, ReportOf(1, false, 5000 + crash), &actions_);
   }
@@ -347,7 +347,7 @@
   LONGS_EQUAL(1, Count<ProbeInstance>());
   Forward(TimeMs(25), 1, false);
   CHECK(AnswerOf(1)->run_state == RunState::kNotRun);
-  runner_->OnProbed(TimeMs(30), true, "i-1", &actions_);
+  runner_->OnProbed(TimeMs(30), ProbeResult{true, "i-1", {}}, &actions_);
   Forward(TimeMs(35), 2, false);
   STRCMP_EQUAL("i-1", Run(0)->instance.c_str());
 }
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -259,6 +259,41 @@
   }
 }
 
+TEST(platform_protocol, runResponses_limitAndLeaving_areRead) {
+  const HttpHeaders kRejected = {{"X-Not-Executed", "1"}};
+  struct Row {
+    const char* text;
+    std::optional<double> limit;
+    const char* malformed;
+  };
+  const Row kRows[] = {
+      {"38.8", 38.8, ""},           {"0", 0.0, ""},
+      {"1000000", 1000000.0, ""},   {"", std::nullopt, ""},
+      {"-1", std::nullopt, "-1"},   {"12x", std::nullopt, "12x"},
+      {"nan", std::nullopt, "nan"}, {"inf", std::nullopt, "inf"},
+      {"1e9", std::nullopt, "1e9"}, {"many", std::nullopt, "many"}};
+  for (const Row& row : kRows) {
+    HttpHeaders headers = kRejected;
+    headers.emplace_back("Server-Limit", row.text);
+    RunResult result = protocol_.ReadRunResponse(ResponseWith(503, headers));
+    CHECK(result.notice->limit_per_s == row.limit);
+    STRCMP_EQUAL(row.malformed, result.notice->malformed_limit.c_str());
+    CHECK_FALSE(result.notice->leaving);
+  }
+  HttpHeaders leaving = kRejected;
+  leaving.emplace_back("Server-Leaving", "1");
+  CHECK(protocol_.ReadRunResponse(ResponseWith(503, leaving)).notice->leaving);
+  CHECK(protocol_.ReadProbe(ResponseWith(503, leaving)).notice->leaving);
+  CHECK(protocol_.ReadProbe(ResponseWith(503, leaving)).instance.empty());
+}
+
+// Another server answers at the address, or the bytes answer another request.
+TEST(platform_protocol, runResponses_ofOtherServers_carryNoNotice) {
+  const HttpHeaders kLimited = {{"Server-Limit", "1"}, {"Server-Leaving", "1"}};
+  CHECK_FALSE(protocol_.ReadRunResponse(ResponseWith(421, kLimited)).notice);
+  CHECK_FALSE(protocol_.ReadRunResponse(ResponseWith(200, kLimited)).notice);
+}
+
 TEST(platform_protocol, ownResponses_reportNotRunOnlyIfCertain) {
   struct Row {
     ErrorKind error;
