Tests: a server that says in its responses that it leaves is used on (known red)

What callers saw: requests sent to a server about to stop, if its heartbeat or deregistration is late or lost; they may break off. Cause: the header is logged and nothing else; only reports change the state.

--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -182,6 +182,13 @@
     result.type = type;
     runner_->OnResult(now, result, &actions_);
   }
+  void EndSayingItLeaves(size_t n) {
+    RunResult result;
+    result.run = Run(n)->run;
+    result.notice = BackendNotice();
+    result.notice->leaving = true;
+    runner_->OnResult(TimeMs(50), result, &actions_);
+  }
 };
 
 TEST(backend_runner, forward_instanceUnknown_refusedAsNotRun) {
@@ -232,6 +239,68 @@
   CHECK(AnswerOf(1)->run_state == RunState::kNotRun);
 }
 
+// The platform states that a server which leaves says so in every response.
+TEST(backend_runner, serverSaysThatItLeaves_getsNoFurtherRequests) {
+  Report(1);
+  for (uint64_t attempt = 1; attempt <= 3; ++attempt)
+    Forward(TimeMs(0), attempt, false);
+  EndSayingItLeaves(0);
+  CHECK(runner_->State() == InstanceState::kDraining);
+  CHECK(!AnswerOf(1)->error);
+  CHECK(AnswerOf(3)->error == ErrorKind::kDraining);
+  CHECK(AnswerOf(3)->run_state == RunState::kNotRun);
+  Forward(TimeMs(60), 4, false);
+  LONGS_EQUAL(2, Count<StartRun>());
+}
+
+TEST(backend_runner, serverSaysThatItLeaves_readyReportDoesNotReviveIt) {
+  Report(1);
+  Forward(TimeMs(0), 1, false);
+  EndSayingItLeaves(0);
+  Report(2);
+  Forward(TimeMs(60), 2, false);
+  LONGS_EQUAL(1, Count<StartRun>());
+}
+
+TEST(backend_runner, serverKnownByHealthCheckLeaves_lateReportDoesNotReviveIt) {
+  runner_->OnProbed(TimeMs(0), ProbeResult{true, "i-1", BackendNotice()},
+                    &actions_);
+  Forward(TimeMs(0), 1, false);
+  EndSayingItLeaves(0);
+  runner_->OnReport(TimeMs(70), ReportOf(20), &actions_);
+  runner_->OnReport(TimeMs(80), ReportOf(21), &actions_);
+  Forward(TimeMs(90), 2, false);
+  LONGS_EQUAL(1, Count<StartRun>());
+}
+
+// The server answered a predecessor of this process that it leaves.
+TEST(backend_runner, daemonRestarts_healthCheckSaysLeaving_reportsDoNotRevive) {
+  BackendNotice leaving;
+  leaving.leaving = true;
+  runner_->OnProbed(TimeMs(5), ProbeResult{true, "", leaving}, &actions_);
+  runner_->OnReport(TimeMs(70), ReportOf(20), &actions_);
+  runner_->OnReport(TimeMs(80), ReportOf(21), &actions_);
+  Forward(TimeMs(90), 1, false);
+  LONGS_EQUAL(0, Count<StartRun>());
+}
+
+TEST(backend_runner, serverRestartsAfterLeaving_isUsedAgain) {
+  Report(1);
+  Forward(TimeMs(0), 1, false);
+  EndSayingItLeaves(0);
+  runner_->OnReport(TimeMs(5000), ReportOf(1, false, 6000), &actions_);
+  Forward(TimeMs(5100), 2, false);
+  LONGS_EQUAL(2, Count<StartRun>());
+}
+
+TEST(backend_runner, serverRestarted_lateResponseOfTheOldOne_isNoLeaving) {
+  Report(1);
+  Forward(TimeMs(0), 1, false);
+  runner_->OnReport(TimeMs(40), ReportOf(1, false, 6000), &actions_);
+  EndSayingItLeaves(0);
+  CHECK(runner_->State() == InstanceState::kReady);
+}
+
 TEST(backend_runner, results_reportWhetherRequestRan) {
   struct Row {
     RunResult::Type type;
