Instance registry: a server that says it leaves gets no further requests

What callers saw: requests could be sent to a server about to stop when its report was late or lost, or by a daemon that had restarted since (DRAIN, Server-Leaving). Cause: only heartbeats and deregistrations changed the state; a statement in a response, which arrives first and cannot be late, was not read. Change: a response or health check that says so makes the state draining, as a report does. It counts only for the start of the server that the request was sent to. While the start or id of the leaving server is unknown, a report with too high a sequence for a new server is taken for a late one, as after a deregistration.

--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -131,6 +131,7 @@
     Work& work = works_.at(decision.id);
     work.running = true;
     work.started = now;
+    work.server_start = registry_.Starts();
     counters_.Add("runs_started_total");
     ++runs_started_;
     histograms_.Add("queue_ms", work.request.route,
@@ -193,9 +194,9 @@
   auto it = works_.find(result.run);
   if (it == works_.end()) return;
   Work& work = it->second;
-  if (result.notice) {
+  if (result.notice && work.server_start == registry_.Starts()) {
     OnNotice(now, *result.notice, "run", actions);
-  } else {
+  } else if (!result.notice) {
     admission_.OnNoResponse();
   }
   bool answered = result.type == RunResult::Type::kAnswered;
@@ -354,6 +355,7 @@
 void BackendRunner::Probe(TimeMs now, Actions* actions) {
   if (probing_ || now < next_probe_) return;
   probing_ = true;
+  probed_start_ = registry_.Starts();
   next_probe_ = now + settings_.probe_interval_ms;
   counters_.Add("instance_probes_total");
   actions->push_back(ProbeInstance{});
@@ -363,7 +365,8 @@
                              Actions* actions) {
   probing_ = false;
   const std::string& instance = result.instance;
-  if (result.notice) OnNotice(now, *result.notice, "health_check", actions);
+  if (result.notice && probed_start_ == registry_.Starts())
+    OnNotice(now, *result.notice, "health_check", actions);
   if (!result.up) {
     OnCrash(now, actions);
     return MarkInstanceUnreachable(now, actions);
@@ -403,15 +406,16 @@
   }
   if (notice.malformed_limit.empty())
     SetRateLimit(now, notice.limit_per_s, actions);
-  if (notice.leaving && !leaving_noticed_) {
+  if (!notice.leaving) return;
+  InstanceRegistry::Change change = registry_.OnLeaving(now);
+  if (change == InstanceRegistry::Change::kUpdated) {
     counters_.Add("backend_leaving_notices_total");
-    actions->push_back(LogRecord{LogLevel::kInfo,
-                                 "instance_leaving",
-                                 {{"instance", registry_.Last().id},
-                                  {"state", NameOf(registry_.State())},
-                                  {"source", source}}});
+    actions->push_back(
+        LogRecord{LogLevel::kInfo,
+                  "instance_leaving",
+                  {{"instance", registry_.Last().id}, {"source", source}}});
   }
-  leaving_noticed_ = notice.leaving;
+  OnInstanceChange(now, change, actions);
 }
 
 void BackendRunner::SetRateLimit(TimeMs now, std::optional<double> per_s,
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -181,6 +181,7 @@
     bool running = false;
     bool abandoned = false;  ///< The sender no longer waits for the answer.
     TimeMs started;
+    uint64_t server_start = 0;  ///< InstanceRegistry::Starts() at the start.
   };
 
   std::optional<ErrorKind> CheckNew(TimeMs now, const Work& work) const;
@@ -216,9 +217,9 @@
   std::set<uint64_t> broken_requests_;
   TimeMs broken_since_{-1000000};
   bool probing_ = false;
+  uint64_t probed_start_ = 0;  ///< InstanceRegistry::Starts() at the check.
   TimeMs next_probe_;
   TimeMs noticed_at_;  ///< Time of the last response or health check.
-  bool leaving_noticed_ = false;
   uint64_t runs_started_ = 0;
   Counters counters_;
   Histograms histograms_;
--- a/banyanloft/mesh/instance_registry.cc
+++ b/banyanloft/mesh/instance_registry.cc
@@ -10,15 +10,18 @@
   return kNames[static_cast<size_t>(state)];
 }
 
-/// Whether a report is a late one of the server that deregistered, although
-/// this process does not know when that server started. A server that started
-/// after the deregistration would have sent fewer reports by now.
-bool InstanceRegistry::PrecedesDeregistration(
-    TimeMs now, const InstanceReport& report) const {
+/// Whether a report is a late one of the server that leaves or has
+/// deregistered, although this process does not know when that server started,
+/// and perhaps not its id. A server that started afterwards would have sent
+/// fewer reports by now.
+bool InstanceRegistry::PrecedesLeaving(TimeMs now,
+                                       const InstanceReport& report) const {
   constexpr int64_t kMaxReportsPerHeartbeat = 2;
+  bool left =
+      state_ == InstanceState::kGone || state_ == InstanceState::kDraining;
   bool start_unknown = last_.start_time_ms == 0;
-  if (state_ != InstanceState::kGone || !start_unknown || report.id != last_.id)
-    return false;
+  bool other = !last_.id.empty() && report.id != last_.id;
+  if (!left || !start_unknown || other) return false;
   int64_t max_reports =
       1 + (now - reported_at_) * kMaxReportsPerHeartbeat / heartbeat_ms_;
   return report.sequence > max_reports;
@@ -34,7 +37,8 @@
 InstanceRegistry::Change InstanceRegistry::OnReport(
     TimeMs now, const InstanceReport& report) {
   if (report.address != address_) return Change::kIgnored;
-  if (PrecedesDeregistration(now, report)) {
+  if (PrecedesLeaving(now, report)) {
+    last_.id = report.id;
     last_.start_time_ms = report.start_time_ms;
     last_.sequence = report.sequence;
     return Change::kIgnored;
@@ -63,7 +67,10 @@
     state_ = confirmed_ || !unhealthy_ ? InstanceState::kReady
                                        : InstanceState::kUnknown;
   }
-  if (was_known && !same_start) return Change::kStarted;
+  if (was_known && !same_start) {
+    ++starts_;
+    return Change::kStarted;
+  }
   bool same = was_known && state_ == state_before &&
               before.slots == last_.slots && before.service == last_.service;
   return same ? Change::kNone : Change::kUpdated;
@@ -79,6 +86,15 @@
   return changed ? Change::kUpdated : Change::kNone;
 }
 
+InstanceRegistry::Change InstanceRegistry::OnLeaving(TimeMs now) {
+  bool leaves =
+      state_ == InstanceState::kGone || state_ == InstanceState::kDraining;
+  if (leaves) return Change::kNone;
+  reported_at_ = now;
+  state_ = InstanceState::kDraining;
+  return Change::kUpdated;
+}
+
 bool InstanceRegistry::OnUnhealthy() {
   if (confirmed_) return false;
   unhealthy_ = true;
@@ -91,6 +107,7 @@
   if (!last_.id.empty() && last_.id != id) {
     // The backend server restarted; its own reports supply the rest.
     last_ = InstanceReport();
+    ++starts_;
   }
   confirmed_ = true;
   last_.id = id;
--- a/banyanloft/mesh/instance_registry.h
+++ b/banyanloft/mesh/instance_registry.h
@@ -32,11 +32,11 @@
 /// Name of a state as used in logs.
 const char* NameOf(InstanceState state);
 
-/// Tracks the backend server on this instance by its reports. Late reports and
-/// those of earlier starts are ignored. Draining and deregistration are final
-/// until the backend server starts again, also if this process started after
-/// the last report and knows the server from a health check only.
-/// Deterministic; not thread safe.
+/// Tracks the backend server on this instance by its reports and by what its
+/// responses say. Late reports and those of earlier starts are ignored.
+/// Draining and deregistration are final until the backend server starts again,
+/// also if this process started after the last report and knows the server from
+/// a health check only. Deterministic; not thread safe.
 class InstanceRegistry {
  public:
   /// `address`: reports with any other address are ignored.
@@ -57,6 +57,8 @@
   Change OnReport(TimeMs now, const InstanceReport& report);
   /// The backend server deregistered.
   Change OnDeregistered(TimeMs now, const std::string& id);
+  /// A response or a health check says that the server leaves.
+  Change OnLeaving(TimeMs now);
   /// Requests no longer reach it: its state is unknown until it reports again
   /// or passes a health check.
   void OnUnreachable() {
@@ -73,17 +75,21 @@
 
   InstanceState State() const { return state_; }
   const InstanceReport& Last() const { return last_; }
+  /// Number of starts of a server that replaced a known one. A response belongs
+  /// to the present server if this has not changed since its request was sent.
+  uint64_t Starts() const { return starts_; }
   /// Time of the last report, deregistration or effective health check.
   TimeMs ReportedAt() const { return reported_at_; }
 
  private:
   bool IsKnownByHealthCheckOnly() const;
-  bool PrecedesDeregistration(TimeMs now, const InstanceReport& report) const;
+  bool PrecedesLeaving(TimeMs now, const InstanceReport& report) const;
 
   std::string address_;
   int64_t heartbeat_ms_;  ///< Expected period of reports, in ms.
   InstanceState state_ = InstanceState::kUnknown;
   InstanceReport last_;
+  uint64_t starts_ = 0;
   /// A second report, a new start or a health check showed that the server is
   /// in service. Until then a first report may be older than its leaving, which
   /// an earlier process acknowledged.
