Instance registry: a first report is used only after a health check or a second one

What callers saw: for the first tens of ms after a restart of a daemon, a late report made a leaving server usable again until the health check was answered. Cause: the first report was believed at once and withdrawn by an unhealthy answer. Change: state unknown until a health check or a second report confirms it; the check is asked for while that is missing. The flag of an unhealthy answer is gone.

--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -371,10 +371,7 @@
     OnCrash(now, actions);
     return MarkInstanceUnreachable(now, actions);
   }
-  if (instance.empty()) {
-    if (registry_.OnUnhealthy()) MarkInstanceUnreachable(now, actions);
-    return;
-  }
+  if (instance.empty()) return;
   bool other = !registry_.Last().id.empty() && registry_.Last().id != instance;
   if (other) registry_.OnUnreachable();
   OnInstanceChange(now, registry_.OnHealthy(now, instance, settings_.service),
@@ -471,9 +468,8 @@
 }
 
 bool BackendRunner::MustProbe(TimeMs now) const {
-  InstanceState state = registry_.State();
-  if (state == InstanceState::kUnknown) return registry_.Last().id.empty();
-  if (state != InstanceState::kReady) return false;
+  if (registry_.NeedsHealthCheck()) return true;
+  if (registry_.State() != InstanceState::kReady) return false;
   bool silent = now - registry_.ReportedAt() >
                 settings_.heartbeat_ms * settings_.max_missed_reports;
   bool limit_is_old =
--- a/banyanloft/mesh/instance_registry.cc
+++ b/banyanloft/mesh/instance_registry.cc
@@ -64,8 +64,7 @@
   if (report.draining || stays_draining) {
     state_ = InstanceState::kDraining;
   } else {
-    state_ = confirmed_ || !unhealthy_ ? InstanceState::kReady
-                                       : InstanceState::kUnknown;
+    state_ = confirmed_ ? InstanceState::kReady : InstanceState::kUnknown;
   }
   if (was_known && !same_start) {
     ++starts_;
@@ -95,12 +94,6 @@
   return Change::kUpdated;
 }
 
-bool InstanceRegistry::OnUnhealthy() {
-  if (confirmed_) return false;
-  unhealthy_ = true;
-  return state_ == InstanceState::kReady;
-}
-
 InstanceRegistry::Change InstanceRegistry::OnHealthy(
     TimeMs now, const std::string& id, const std::string& service) {
   if (state_ != InstanceState::kUnknown) return Change::kNone;
--- a/banyanloft/mesh/instance_registry.h
+++ b/banyanloft/mesh/instance_registry.h
@@ -64,16 +64,16 @@
   void OnUnreachable() {
     if (state_ == InstanceState::kReady) state_ = InstanceState::kUnknown;
   }
-  /// A health check was answered, but the server does not report itself
-  /// healthy: it may be leaving. Returns true if it was in use by a single
-  /// report, which may be a late one and no longer counts.
-  bool OnUnhealthy();
   /// A health check succeeded and returned this id. Has an effect only while
   /// the state is unknown.
   Change OnHealthy(TimeMs now, const std::string& id,
                    const std::string& service);
 
   InstanceState State() const { return state_; }
+  /// Whether only a health check can soon show that the server is in service.
+  bool NeedsHealthCheck() const {
+    return state_ == InstanceState::kUnknown && !confirmed_;
+  }
   const InstanceReport& Last() const { return last_; }
   /// Number of starts of a server that replaced a known one. A response belongs
   /// to the present server if this has not changed since its request was sent.
@@ -94,7 +94,6 @@
   /// in service. Until then a first report may be older than its leaving, which
   /// an earlier process acknowledged.
   bool confirmed_ = false;
-  bool unhealthy_ = false;  ///< By the last health check before confirmed_.
   TimeMs reported_at_{-1000000};
 };
 
--- a/tests/backend_limit_test.cc
+++ b/tests/backend_limit_test.cc
@@ -120,6 +120,8 @@
     report.slots = kSlots;
     BackendRunner::Actions actions;
     runner_->OnReport(now_, report, &actions);
+    // Confirms the first report; a check without a notice tells no limit.
+    runner_->OnProbed(now_, ProbeResult{true, "i-1", {}}, &actions);
     Handle(&actions);
     next_report_ = now_ + 1500;
   }
--- a/tests/mesh_node_test.cc
+++ b/tests/mesh_node_test.cc
@@ -55,6 +55,7 @@
     report.slots = 18;
     MeshNode::Actions actions;
     node_.OnReport(now_, report, &actions);
+    node_.OnProbed(now_, ProbeResult{true, "i-1", {}}, &actions);
   }
   bool RunUntil(TimeMs end) {
     bool exit = false;
