Stand-in and soak: backend servers that name a limit or say that they leave

Change: the simulated backend server names a limit in all responses, says in them that it leaves, may leave without any report, and counts the requests beyond what the platform allows. tests/mesh_processes.sh plays both, the unreported leaving beside a daemon that is killed and restarted. The soak draws a limit in 40 % of its seeds, after the other faults, whose plans stay as they are; the limit is not checked at a server whose connections a fault held back, because what was held back arrives at once.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -17,6 +17,10 @@
 constexpr uint64_t kMaxSteps = 4;
 constexpr uint64_t kMaxSeriesLength = 4;
 constexpr int64_t kSeriesGapMs = 700;
+/// The last kind is drawn apart from the others, so that the plans of earlier
+/// seeds stay as they are except for it.
+constexpr uint64_t kDrawnKinds = kFaultKinds - 1;
+constexpr int kLimitPermille = 400;
 
 constexpr std::array<FaultKind, 5> kPlannedKinds = {
     FaultKind::kStopDaemon, FaultKind::kReloadDaemon, FaultKind::kDrainBackend,
@@ -24,7 +28,7 @@
 
 FaultKind DrawKind(Random* random, bool planned_only) {
   if (planned_only) return kPlannedKinds[random->Below(kPlannedKinds.size())];
-  return static_cast<FaultKind>(random->Below(kFaultKinds));
+  return static_cast<FaultKind>(random->Below(kDrawnKinds));
 }
 
 }  // namespace
@@ -47,13 +51,15 @@
       "store_compacts",
       "crash_backend",
       "drain_backend",
-      "change_config"};
+      "change_config",
+      "limit_backend"};
   return kNames[static_cast<size_t>(kind)];
 }
 
 bool IsPlanned(FaultKind kind) {
-  return std::find(kPlannedKinds.begin(), kPlannedKinds.end(), kind) !=
-         kPlannedKinds.end();
+  return kind == FaultKind::kLimitBackend ||
+         std::find(kPlannedKinds.begin(), kPlannedKinds.end(), kind) !=
+             kPlannedKinds.end();
 }
 
 std::string FaultPlan::Summary() const {
@@ -100,6 +106,12 @@
                 DrawKind(&random, plan.planned_only));
     }
   }
+  if (random.ChancePermille(kLimitPermille)) {
+    add_fault(static_cast<int64_t>(
+                  random.Below(static_cast<uint64_t>(settings.span_ms))),
+              FaultKind::kLimitBackend);
+    plan.faults.back().duration_ms = settings.limit_duration_ms;
+  }
   std::stable_sort(
       plan.faults.begin(), plan.faults.end(),
       [](const Fault& a, const Fault& b) { return a.start_ms < b.start_ms; });
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -27,13 +27,14 @@
   kCrashBackend,   ///< Its sockets close; restarted after `duration_ms`.
   kDrainBackend,   ///< It drains and stops; another takes its address.
   kChangeConfig,   ///< Writes a new version of the configuration.
+  kLimitBackend,   ///< It names a limit of its request rate.
 };
 inline constexpr size_t kFaultKinds =
-    static_cast<size_t>(FaultKind::kChangeConfig) + 1;
+    static_cast<size_t>(FaultKind::kLimitBackend) + 1;
 
 /// Name of a kind in reports.
 const char* NameOf(FaultKind kind);
-/// Whether operators do this during normal operation.
+/// Whether operators or backend servers do this during normal operation.
 bool IsPlanned(FaultKind kind);
 
 /// Connections of a daemon that are routed through a proxy.
@@ -62,6 +63,9 @@
   int daemons = 8;
   int64_t span_ms = 8000;  ///< Time in which faults start, in ms.
   int64_t max_duration_ms = 3000;
+  /// Duration of kLimitBackend, in ms: its limit binds after 3 s and is checked
+  /// over 4 s.
+  int64_t limit_duration_ms = 9000;
 };
 
 /// The faults of one seed.
--- a/soak/instance.h
+++ b/soak/instance.h
@@ -57,7 +57,8 @@
   bool stop_requested = false;  ///< The daemon is expected to exit.
   bool restart_on_exit = false;
   TimeMs stop_requested_at;
-  TimeMs disturbed_until;  ///< End of its last fault; see Soak::IsStable.
+  int connection_faults = 0;  ///< Number injected so far.
+  TimeMs disturbed_until;     ///< End of its last fault; see Soak::IsStable.
 
  private:
   enum Port : int {
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -37,6 +37,9 @@
 constexpr int64_t kDrainStayMs = 3000;
 constexpr int kAbortPermille = 10;
 constexpr int64_t kAbortAfterMs = 30;
+/// Limit that a backend server names, in requests per second: a fifth of its
+/// share of the load.
+constexpr double kBackendLimitPerSecond = 5;
 
 std::string NewRoute(int version) { return fmt::format("/new-{}/", version); }
 
@@ -304,6 +307,8 @@
       return InjectBackendFault(fault, instance);
     case FaultKind::kChangeConfig:
       return ChangeConfiguration();
+    case FaultKind::kLimitBackend:
+      return LimitBackend(fault, instance);
   }
 }
 
@@ -340,6 +345,7 @@
 
 void Soak::InjectConnectionFault(const Fault& fault, Instance* instance) {
   MarkDisturbed(instance, fault.duration_ms);
+  ++instance->connection_faults;
   ConnectionType connection = fault.connection;
   uint64_t token =
       instance->SetConnectionFault(connection, ProxyFaultOf(fault.kind));
@@ -382,6 +388,25 @@
   });
 }
 
+/// The load goes on until the limit is lifted. Requests that a connection fault
+/// holds back arrive at once later, so that the limit is not checked then.
+void Soak::LimitBackend(const Fault& fault, Instance* instance) {
+  MeshBackend* backend = instance->Backend();
+  if (backend == nullptr) return;
+  faults_end_ = std::max(faults_end_, SteadyClock().Now() + fault.duration_ms);
+  backend->SetLimit(kBackendLimitPerSecond);
+  std::string id = backend->Settings().id;
+  int connection_faults = instance->connection_faults;
+  RunAfter(fault.duration_ms, [this, instance, id, connection_faults] {
+    MeshBackend* limited = instance->Backend();
+    if (limited == nullptr || limited->Settings().id != id) return;
+    bool held_back = instance->connection_faults != connection_faults;
+    if (!held_back && limited->RequestsOverLimit() > 0)
+      history_.AddViolation("limit_exceeded", id);
+    limited->SetLimit(std::nullopt);
+  });
+}
+
 void Soak::ChangeConfiguration() {
   ++version_;
   config_changed_at_ = SteadyClock().Now();
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -53,6 +53,7 @@
   void InjectConnectionFault(const Fault& fault, Instance* instance);
   void InjectStoreFault(const Fault& fault);
   void InjectBackendFault(const Fault& fault, Instance* instance);
+  void LimitBackend(const Fault& fault, Instance* instance);
   void ChangeConfiguration();
   void MarkDisturbed(Instance* instance, int64_t duration_ms);
   bool IsStable(const Instance& instance, TimeMs now) const;
--- a/standins/mesh_backend.cc
+++ b/standins/mesh_backend.cc
@@ -13,6 +13,14 @@
 /// Time after an acknowledged drain in which requests may still arrive, in ms.
 /// Bound set by the specification of the platform.
 constexpr int64_t kDrainGraceMs = 2000;
+/// Time after which a named limit binds, and the window in which requests are
+/// counted, in ms, and the number allowed there. Bounds set by the
+/// specification of the platform.
+constexpr int64_t kLimitDelayMs = 3000;
+constexpr int64_t kLimitWindowMs = 4000;
+double AllowedInWindow(double limit_per_s) {
+  return 1.5 * limit_per_s * kLimitWindowMs / 1000 + 5;
+}
 
 HttpServerSettings ServerSettings(const MeshBackendSettings& settings) {
   HttpServerSettings server;
@@ -57,26 +65,61 @@
   return started;
 }
 
+void MeshBackend::LeaveUnreported() {
+  unreported_ = true;
+  Drain();
+}
+
+void MeshBackend::SetLimit(std::optional<double> per_s) {
+  limit_per_s_ = per_s;
+  limit_binds_at_ = SteadyClock().Now() + kLimitDelayMs;
+  arrivals_.clear();
+}
+
+/// Adds what the server says of itself to a response and sends it.
+void MeshBackend::Reply(uint64_t id, HttpResponse response) {
+  if (limit_per_s_)
+    response.headers.emplace_back(wire::header::kRateLimit,
+                                  std::to_string(*limit_per_s_));
+  if (draining_) {
+    response.headers.emplace_back(wire::header::kLeaving, "1");
+    if (!leaving_said_at_) leaving_said_at_ = SteadyClock().Now();
+  }
+  server_.Reply(id, std::move(response));
+}
+
+void MeshBackend::CountArrival() {
+  TimeMs now = SteadyClock().Now();
+  bool late =
+      drain_acknowledged_ && now - drain_acknowledged_at_ > kDrainGraceMs;
+  bool late_unreported = unreported_ && leaving_said_at_ &&
+                         now - *leaving_said_at_ > kDrainGraceMs;
+  if (late || late_unreported) ++late_requests_;
+  if (!limit_per_s_ || now < limit_binds_at_) return;
+  arrivals_.push_back(now);
+  while (now - arrivals_.front() >= kLimitWindowMs) arrivals_.pop_front();
+  if (static_cast<double>(arrivals_.size()) > AllowedInWindow(*limit_per_s_))
+    ++over_limit_;
+}
+
 void MeshBackend::OnRequest(uint64_t id, HttpRequest request) {
   if (PathOf(request.target) == wire::path::kHealth) {
     HttpResponse health = EmptyResponse(draining_ ? 503 : 200);
     health.headers.emplace_back(wire::header::kInstance, settings_.id);
-    return server_.Reply(id, std::move(health));
+    return Reply(id, std::move(health));
   }
   std::string expected(
       HeaderOf(request.headers, wire::header::kExpectedInstance));
   if (expected == settings_.id) return Run(id, request);
   HttpResponse wrong_instance = EmptyResponse(421);
   wrong_instance.headers.emplace_back(wire::header::kInstance, settings_.id);
-  server_.Reply(id, std::move(wrong_instance));
+  Reply(id, std::move(wrong_instance));
 }
 
 void MeshBackend::Run(uint64_t id, const HttpRequest& request) {
   std::string request_id(HeaderOf(request.headers, wire::header::kRequestId));
   observer_->OnRequestStarted(*this, request_id, request);
-  if (drain_acknowledged_ &&
-      SteadyClock().Now() - drain_acknowledged_at_ > kDrainGraceMs)
-    ++late_requests_;
+  CountArrival();
   bool invalid = random_.ChancePermille(
       static_cast<int>(settings_.invalid_response_permille));
   HttpResponse answer;
@@ -89,7 +132,7 @@
   int64_t run_ms = settings_.run_ms / 2 +
                    static_cast<int64_t>(
                        random_.Below(static_cast<uint64_t>(settings_.run_ms)));
-  RunAfter(run_ms, [this, id, answer] { server_.Reply(id, answer); });
+  RunAfter(run_ms, [this, id, answer] { Reply(id, answer); });
 }
 
 HttpResponse MeshBackend::OnRefused(ErrorKind) { return EmptyResponse(400); }
@@ -105,6 +148,7 @@
 }
 
 void MeshBackend::SendHeartbeat() {
+  if (unreported_) return;
   HttpRequest heartbeat;
   heartbeat.method = "PUT";
   heartbeat.target = wire::path::kInstances + settings_.id;
--- a/standins/mesh_backend.h
+++ b/standins/mesh_backend.h
@@ -2,8 +2,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "banyanloft/core/random.h"
@@ -47,10 +49,17 @@
 
   Result<Endpoint> Start();
   void Drain() { draining_ = true; }
+  /// Drains without a report: only its responses say so, and no further
+  /// heartbeats are sent.
+  void LeaveUnreported();
+  /// Names a limit of requests per second in all responses; empty: none.
+  void SetLimit(std::optional<double> per_s);
+  /// Requests that exceeded the limit by more than the platform allows.
+  int RequestsOverLimit() const { return over_limit_; }
   bool Draining() const { return draining_; }
   const MeshBackendSettings& Settings() const { return settings_; }
   /// Requests received after the grace period that follows an acknowledged
-  /// drain.
+  /// drain or the first response that said so.
   int LateRequests() const { return late_requests_; }
   bool DrainAcknowledged() const { return drain_acknowledged_; }
 
@@ -60,6 +69,8 @@
 
  private:
   void Run(uint64_t id, const HttpRequest& request);
+  void Reply(uint64_t id, HttpResponse response);
+  void CountArrival();
   void SendHeartbeat();
   void RunAfter(int64_t ms, std::function<void()> callback);
 
@@ -78,6 +89,12 @@
   bool drain_acknowledged_ = false;
   TimeMs drain_acknowledged_at_;
   int late_requests_ = 0;
+  bool unreported_ = false;
+  std::optional<TimeMs> leaving_said_at_;
+  std::optional<double> limit_per_s_;
+  TimeMs limit_binds_at_;
+  std::deque<TimeMs> arrivals_;  ///< Within the window that the limit binds.
+  int over_limit_ = 0;
 };
 
 /// Returns the body that the response to a request must have.
--- a/standins/mesh_standin.cc
+++ b/standins/mesh_standin.cc
@@ -145,6 +145,9 @@
           mismatched_responses_ == 0, mismatched_responses_);
     check("a drain is acknowledged", acknowledged, 1);
     check("a drained backend server gets no late requests", late == 0, late);
+    int over = backends_[kLimitedBackend]->RequestsOverLimit();
+    check("a backend server gets no more than the limit that it names",
+          over == 0, over);
     check("backend servers get only valid requests", invalid_requests_ == 0,
           invalid_requests_);
     check("a configuration change is in force everywhere in time",
@@ -157,6 +160,10 @@
 
  private:
   static constexpr size_t kDrainedBackend = 1;
+  /// Its daemon is killed and restarted by mesh_processes.sh.
+  static constexpr size_t kUnreportedBackend = 2;
+  static constexpr size_t kLimitedBackend = 3;
+  static constexpr double kLimitPerSecond = 6;
 
   void OnRequestStarted(const MeshBackend&, const std::string& id,
                         const HttpRequest& request) override {
@@ -208,6 +215,8 @@
     if (elapsed_ms >= options_.seconds * 300 && !drain_started_) {
       drain_started_ = true;
       backends_[kDrainedBackend]->Drain();
+      backends_[kUnreportedBackend]->LeaveUnreported();
+      backends_[kLimitedBackend]->SetLimit(kLimitPerSecond);
     }
     if (elapsed_ms >= options_.seconds * 400 && config_changed_at_ms_ < 0) {
       config_changed_at_ms_ = elapsed_ms;
--- a/tests/soak_test.cc
+++ b/tests/soak_test.cc
@@ -123,8 +123,10 @@
     CHECK(!plan.faults.empty());
     for (const Fault& fault : plan.faults) {
       CHECK(fault.daemon >= 0 && fault.daemon < settings.daemons);
+      bool limits = fault.kind == FaultKind::kLimitBackend;
       CHECK(fault.duration_ms > 0 &&
-            fault.duration_ms <= settings.max_duration_ms);
+            fault.duration_ms <= (limits ? settings.limit_duration_ms
+                                         : settings.max_duration_ms));
       CHECK(!plan.planned_only || IsPlanned(fault.kind));
     }
   }
