Log that the store was restored from an older copy

A restored store could not be told from one that was away: nothing read its generation, and no line held the revision that a daemon knew beside the one that it got. Change: the adapter reads the generation of each reply, also of errors; the follower logs store_restored with both revisions and counts it. No decision uses it yet. Evidence: platform_protocol/storeReplies_nameTheStoresGeneration.

--- a/banyanloft/daemon/metrics_page.cc
+++ b/banyanloft/daemon/metrics_page.cc
@@ -101,6 +101,8 @@
        "Reports that were late, foreign or of an earlier start"},
       {"config_reads_total", "kind", "Reads and watches of the store"},
       {"config_read_failures_total", "", "Reads of the store that failed"},
+      {"config_store_restored_total", "",
+       "Times that the store came back from an older copy"},
       {"config_history_lost_total", "", "Watches whose history was dropped"},
       {"config_pulls_total", "", "Documents asked of peers"},
       {"config_far_pulls_total", "",
--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -84,6 +84,8 @@
     {"settings_reloaded",
      "settings reloaded; cause, settings applied, settings that need a "
      "restart"},
+    {"store_restored",
+     "the store came back from an older copy; its revision and the one known"},
     {"store_lost", "calls to the store are failing; reason"},
     {"store_regained", "calls to the store succeed again"},
     {"version_adopted", "a configuration version was activated; source"},
--- a/banyanloft/mesh/config_follower.cc
+++ b/banyanloft/mesh/config_follower.cc
@@ -104,9 +104,28 @@
   next_call_ = now + pause_ms * 3 / 4 + jitter_ms;
 }
 
+/// Logs that the store was restored from an older copy.
+void ConfigFollower::OnGeneration(uint64_t generation,
+                                  const PlatformReply& reply,
+                                  Actions* actions) {
+  if (generation == 0 || generation == generation_) return;
+  if (generation_ != 0) {
+    counters_.Add("config_store_restored_total");
+    actions->push_back(LogRecord{LogLevel::kWarning,
+                                 "store_restored",
+                                 {{"generation", std::to_string(generation)},
+                                  {"before", std::to_string(generation_)},
+                                  {"revision", std::to_string(reply.revision)},
+                                  {"known_revision", std::to_string(revision_)},
+                                  {"version", std::to_string(Version())}}});
+  }
+  generation_ = generation;
+}
+
 void ConfigFollower::OnStore(TimeMs now, const PlatformReply& reply,
                              Actions* actions) {
   if (call_ == Call::kNone) return;
+  OnGeneration(reply.generation, reply, actions);
   bool was_watch = call_ == Call::kWatch;
   bool may_be_stale = call_ == Call::kStaleRead;
   call_ = Call::kNone;
--- a/banyanloft/mesh/config_follower.h
+++ b/banyanloft/mesh/config_follower.h
@@ -128,6 +128,8 @@
 
   bool CallDue(TimeMs now, bool watching) const;
   void StartCall(TimeMs now, bool watching, Actions* actions);
+  void OnGeneration(uint64_t generation, const PlatformReply& reply,
+                    Actions* actions);
   void OnCallFailed(TimeMs now, const std::string& reason, Actions* actions);
   void Pull(TimeMs now, const std::string& link, uint64_t version,
             Actions* actions);
@@ -143,6 +145,7 @@
   size_t text_bytes_ = 0;       ///< Uncompressed size of the active document.
   uint64_t rejected_hash_ = 0;  ///< Hash of the last document rejected.
   uint64_t revision_ = 0;       ///< Store revision of the last reply.
+  uint64_t generation_ = 0;     ///< Of the store; see PlatformReply.
   Call call_ = Call::kNone;
   TimeMs call_deadline_;
   TimeMs next_call_;
--- a/banyanloft/store/platform_message.h
+++ b/banyanloft/store/platform_message.h
@@ -40,6 +40,10 @@
   /// With kWrite: the new revision. With kList: the store's revision, from
   /// which a watch may start; 0 if the store reports none.
   uint64_t revision = 0;
+  /// Rises each time the store is restored from an older copy, whereby its
+  /// revisions go back; 0 if unknown. Also set with an error that the store
+  /// itself answered.
+  uint64_t generation = 0;
 };
 
 }  // namespace banyanloft
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -360,6 +360,27 @@
   CHECK(ReadStoreOutcome(list, OutcomeWith(200, "{}")).error.has_value());
 }
 
+TEST(platform_protocol, storeReplies_nameTheStoresGeneration) {
+  PlatformCall list;
+  list.type = PlatformCall::Type::kList;
+  list.key = "config/";
+  struct Row {
+    const char* text;
+    uint64_t generation;
+  };
+  for (const Row& row : {Row{"3", 3}, Row{"0", 0}, Row{"-1", 0}, Row{"3x", 0},
+                         Row{"", 0}, Row{"99999999999999999999", 0}}) {
+    for (int status : {200, 410, 503}) {
+      HttpOutcome outcome = OutcomeWith(status, R"({"items":[]})");
+      outcome.response.headers.emplace_back("Store-Era", row.text);
+      LONGS_EQUAL(row.generation, ReadStoreOutcome(list, outcome).generation);
+    }
+  }
+  HttpOutcome lost;
+  lost.failure = HttpFailure::kBroken;
+  LONGS_EQUAL(0, ReadStoreOutcome(list, lost).generation);
+}
+
 TEST(platform_protocol, storeWatch_eventsAreDecodedAsObjects) {
   PlatformCall watch;
   watch.type = PlatformCall::Type::kList;
