Tests: a daemon keeps the revision of before a restore (known red)

What callers saw: nothing yet; a change that gets a revision which was given out before the restore, while no watch waits, is not in force until the next change. Cause: the follower keeps the highest revision it ever saw, and an outage between two watches fails no call.

--- a/tests/config_follower_test.cc
+++ b/tests/config_follower_test.cc
@@ -56,6 +56,16 @@
       reply.objects.push_back({ConfigFollowerSettings().key, revision, value});
     follower_.OnStore(now, reply, &actions_);
   }
+  /// A reply of a store that was restored `generation` - 1 times.
+  void StoreOf(uint64_t generation, TimeMs now, const std::string& value,
+               uint64_t revision) {
+    PlatformReply reply;
+    reply.revision = revision;
+    reply.generation = generation;
+    if (!value.empty())
+      reply.objects.push_back({ConfigFollowerSettings().key, revision, value});
+    follower_.OnStore(now, reply, &actions_);
+  }
   void Failure(TimeMs now, ErrorKind kind) {
     PlatformReply reply;
     reply.error = Error{kind, "test"};
@@ -248,3 +258,63 @@
   LONGS_EQUAL(0, follower_.Version());
   LONGS_EQUAL(1, Count<LogRecord>());
 }
+
+// The revisions of a restored store go back and are given out again.
+TEST(config_follower, storeRestored_watchContinuesFromItsRevision) {
+  follower_.Tick(TimeMs(0), true, &actions_);
+  StoreOf(1, TimeMs(5), "7", 100);
+  follower_.Tick(TimeMs(10), true, &actions_);
+  Failure(TimeMs(20), ErrorKind::kPlatformUnavailable);
+  follower_.Tick(TimeMs(1000), true, &actions_);
+  StoreOf(2, TimeMs(1005), "5", 90);
+  LONGS_EQUAL(7, follower_.Version());
+  follower_.Tick(TimeMs(1010), true, &actions_);
+  CHECK(LastCall()->watch_after == uint64_t{90});
+}
+
+// The outage falls between two watches, so that no call fails, and the store
+// has given out the watched revision again.
+TEST(config_follower, storeRestoredBetweenWatches_changeIsNotMissed) {
+  follower_.Tick(TimeMs(0), true, &actions_);
+  StoreOf(1, TimeMs(5), "7", 100);
+  follower_.Tick(TimeMs(10), true, &actions_);
+  StoreOf(2, TimeMs(2010), "", 101);
+  follower_.Tick(TimeMs(2020), true, &actions_);
+  CHECK(!LastCall()->watch_after);
+  CHECK(!LastCall()->allow_stale);
+  StoreOf(2, TimeMs(2025), "8", 101);
+  LONGS_EQUAL(8, follower_.Version());
+}
+
+TEST(config_follower, storeRestored_watchIsRefusedAtMostOnce) {
+  follower_.Tick(TimeMs(0), true, &actions_);
+  StoreOf(1, TimeMs(5), "7", 100);
+  size_t calls = 0;
+  for (int64_t ms = 10; ms < 4000; ms += 50) {
+    size_t before = Count<PlatformCall>();
+    follower_.Tick(TimeMs(ms), true, &actions_);
+    if (Count<PlatformCall>() == before) continue;
+    ++calls;
+    const PlatformCall& call = *LastCall();
+    if (call.watch_after && *call.watch_after > 90) {
+      PlatformReply gone;
+      gone.error = Error{ErrorKind::kHistoryLost, "test"};
+      gone.generation = 2;
+      follower_.OnStore(TimeMs(ms + 4), gone, &actions_);
+    } else if (!call.watch_after) {
+      StoreOf(2, TimeMs(ms + 4), "7", 90);
+    }
+  }
+  CHECK(calls <= 5);
+}
+
+TEST(config_follower, generationChangesAgain_isReadAnew) {
+  follower_.Tick(TimeMs(0), true, &actions_);
+  StoreOf(2, TimeMs(5), "7", 90);
+  follower_.Tick(TimeMs(10), true, &actions_);
+  StoreOf(1, TimeMs(20), "", 100);
+  follower_.Tick(TimeMs(1000), true, &actions_);
+  StoreOf(2, TimeMs(1005), "7", 91);
+  follower_.Tick(TimeMs(1010), true, &actions_);
+  CHECK(LastCall()->watch_after == uint64_t{91});
+}
