Config follower: revisions of before a restore of the store are dropped

After the store came back from an older copy, a change could get a revision that a watching daemon believed to have seen, and was not in force until the next one. Cause: the follower kept the highest revision it ever saw; a restore between two watches fails no call and was not noticed. Change: a reply of another generation drops the revision and what was confirmed; unless it is a fresh read itself, the state is read anew. A fresh read sets the revision, also to a lower one. A stale read counts only if its generation is not older. Class of fault: a position in a history is compared across histories. Elsewhere: the rendezvous reads before each conditional write and keeps no revision; the distributor of banyanloftd was not examined.

--- a/banyanloft/mesh/config_follower.cc
+++ b/banyanloft/mesh/config_follower.cc
@@ -104,30 +104,37 @@
   next_call_ = now + pause_ms * 3 / 4 + jitter_ms;
 }
 
-/// Logs that the store was restored from an older copy.
-void ConfigFollower::OnGeneration(uint64_t generation,
-                                  const PlatformReply& reply,
-                                  Actions* actions) {
-  if (generation == 0 || generation == generation_) return;
-  if (generation_ != 0) {
-    counters_.Add("config_store_restored_total");
-    actions->push_back(LogRecord{LogLevel::kWarning,
-                                 "store_restored",
-                                 {{"generation", std::to_string(generation)},
-                                  {"before", std::to_string(generation_)},
-                                  {"revision", std::to_string(reply.revision)},
-                                  {"known_revision", std::to_string(revision_)},
-                                  {"version", std::to_string(Version())}}});
-  }
-  generation_ = generation;
+/// Whether a reply shows that the store was restored since the last one. A
+/// stale read may come from a replica that has not been restored yet.
+bool ConfigFollower::ShowsRestore(const PlatformReply& reply) const {
+  if (reply.generation == 0 || generation_ == 0) return false;
+  return call_ == Call::kStaleRead ? reply.generation > generation_
+                                   : reply.generation != generation_;
+}
+
+/// The store was restored from an older copy: its revisions went back, and
+/// nothing that was confirmed before counts.
+void ConfigFollower::OnRestored(const PlatformReply& reply, Actions* actions) {
+  counters_.Add("config_store_restored_total");
+  actions->push_back(
+      LogRecord{LogLevel::kWarning,
+                "store_restored",
+                {{"generation", std::to_string(reply.generation)},
+                 {"before", std::to_string(generation_)},
+                 {"revision", std::to_string(reply.revision)},
+                 {"known_revision", std::to_string(revision_)},
+                 {"version", std::to_string(Version())}}});
+  revision_ = 0;
+  confirmed_at_.reset();
 }
 
 void ConfigFollower::OnStore(TimeMs now, const PlatformReply& reply,
                              Actions* actions) {
   if (call_ == Call::kNone) return;
-  OnGeneration(reply.generation, reply, actions);
-  bool was_watch = call_ == Call::kWatch;
-  bool may_be_stale = call_ == Call::kStaleRead;
+  bool restored = ShowsRestore(reply);
+  if (restored) OnRestored(reply, actions);
+  if (restored || generation_ == 0) generation_ = reply.generation;
+  Call call = call_;
   call_ = Call::kNone;
   if (reply.error && reply.error->kind == ErrorKind::kHistoryLost) {
     // A read returns the current state, from which to resume watching.
@@ -145,12 +152,11 @@
                    {"revision", std::to_string(reply.revision)}}});
   }
   failures_ = 0;
-  if (!may_be_stale) confirmed_at_ = now;
-  revision_ = std::max(revision_, reply.revision);
-  next_call_ = was_watch ? now : now + settings_.poll_ms;
+  UpdateRevision(now, call, restored, reply);
   for (const PlatformObject& object : reply.objects) {
     if (object.key == settings_.key)
-      TryAdopt(object.value, "", was_watch ? "watch" : "read", actions);
+      TryAdopt(object.value, "", call == Call::kWatch ? "watch" : "read",
+               actions);
   }
   // Nothing has been written yet. The first member to read a version announces
   // it to the others.
@@ -161,6 +167,25 @@
   }
 }
 
+/// Records up to which revision the store's state is known. A watch that began
+/// before a restore, or a stale read after one, says nothing about that: the
+/// state is read anew.
+void ConfigFollower::UpdateRevision(TimeMs now, Call call, bool restored,
+                                    const PlatformReply& reply) {
+  if (restored && call != Call::kRead) {
+    next_call_ = now;
+    return;
+  }
+  next_call_ = call == Call::kWatch ? now : now + settings_.poll_ms;
+  if (call != Call::kStaleRead) confirmed_at_ = now;
+  bool outdated = reply.generation != 0 && reply.generation < generation_;
+  if (call == Call::kRead) {
+    revision_ = reply.revision;
+  } else if (!outdated) {
+    revision_ = std::max(revision_, reply.revision);
+  }
+}
+
 void ConfigFollower::OnVersionAnnounced(TimeMs now, const std::string& link,
                                         bool same_zone, uint64_t version,
                                         int64_t age_ms, Actions* actions) {
--- a/banyanloft/mesh/config_follower.h
+++ b/banyanloft/mesh/config_follower.h
@@ -128,8 +128,10 @@
 
   bool CallDue(TimeMs now, bool watching) const;
   void StartCall(TimeMs now, bool watching, Actions* actions);
-  void OnGeneration(uint64_t generation, const PlatformReply& reply,
-                    Actions* actions);
+  bool ShowsRestore(const PlatformReply& reply) const;
+  void OnRestored(const PlatformReply& reply, Actions* actions);
+  void UpdateRevision(TimeMs now, Call call, bool restored,
+                      const PlatformReply& reply);
   void OnCallFailed(TimeMs now, const std::string& reason, Actions* actions);
   void Pull(TimeMs now, const std::string& link, uint64_t version,
             Actions* actions);
