Config follower: a number given out again after a restore replaces the lost text

A version that the operator writes under a lost number with another text would not have come in force: on daemons that had the first text, never. Cause: the number alone names a version, at the store and between peers, whose confirmations counted whatever text they meant. Change: a member remembers in which generation of the store its document was read, by it or by the peers that it came from. A read of a later generation replaces the text of the same number. After a restore, datagrams carry the generation and the document's hash; peers with an older text pull the later one, and confirmations of another text don't count. A lower number is never adopted. The two fields are sent only once a restore is known, so that daemons without them understand all other datagrams; after a restore a mixed fleet of this and older code would not exchange datagrams. Class of fault: identity by a number that can be given out twice.

--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -390,11 +390,16 @@
 
 std::string EncodeDatagram(const Datagram& d, const std::string& secret) {
   Json subject = d.subject.id != 0 ? Encode(d.subject) : Json(nullptr);
-  std::string payload = ToCbor(Json::array(
+  Json fields = Json::array(
       {kMaxProtocolVersion, static_cast<int>(d.type), d.from, d.sequence,
        d.reply_to, subject, d.version, d.version_age_ms, d.from_link, d.zone,
        d.detail, d.wants_reply, EncodeMembers(d.members),
-       EncodeCrashSuspicions(d.crash_suspicions), d.digest}));
+       EncodeCrashSuspicions(d.crash_suspicions), d.digest});
+  if (d.document_generation != 0) {
+    fields.push_back(d.document_generation);
+    fields.push_back(d.document_hash);
+  }
+  std::string payload = ToCbor(fields);
   return KeyedHash(secret, payload) + payload;
 }
 
@@ -434,6 +439,10 @@
   const Json& digest = r.Next();
   CborReader hashes(digest);
   while (hashes.Ok() && !hashes.Done()) d.digest.push_back(hashes.Unsigned());
+  if (r.Ok() && !r.Done()) {
+    d.document_generation = r.Unsigned();
+    d.document_hash = r.Unsigned();
+  }
   if (!r.Done() || !hashes.Done()) return ProtocolError("datagram");
   return d;
 }
--- a/banyanloft/membership/member.h
+++ b/banyanloft/membership/member.h
@@ -82,6 +82,11 @@
   std::vector<MemberRecord> members;
   std::vector<CrashSuspicion> crash_suspicions;
   std::vector<uint64_t> digest;  ///< With kDigest: one hash per bucket.
+  /// If the store was restored from an older copy: its generation when the
+  /// sender's document was read from it, and the document's hash. Sent only if
+  /// not 0, so that members without this field understand all other datagrams.
+  uint64_t document_generation = 0;
+  uint64_t document_hash = 0;
 };
 
 /// A datagram and the gossip address to send it to.
--- a/banyanloft/mesh/config_follower.cc
+++ b/banyanloft/mesh/config_follower.cc
@@ -1,6 +1,7 @@
 #include "banyanloft/mesh/config_follower.h"
 
 #include <algorithm>
+#include <array>
 
 #include "banyanloft/core/compress.h"
 #include "banyanloft/core/digest.h"
@@ -39,13 +40,13 @@
 
 void ConfigFollower::Tick(TimeMs now, bool watching, Actions* actions) {
   if (pull_version_ != 0 && now >= pull_deadline_) pull_version_ = 0;
-  bool cross_zone_due = cross_zone_version_ != 0 && now >= cross_zone_pull_at_;
+  bool cross_zone_due = cross_zone_.version != 0 && now >= cross_zone_pull_at_;
   if (cross_zone_due) {
-    if (cross_zone_version_ > std::max(Version(), pull_version_)) {
+    if (cross_zone_.version > std::max(Version(), pull_version_)) {
       counters_.Add("config_far_pulls_total");
-      Pull(now, cross_zone_link_, cross_zone_version_, actions);
+      Pull(now, cross_zone_, actions);
     }
-    cross_zone_version_ = 0;
+    cross_zone_ = VersionAnnouncement();
   }
   if (call_ != Call::kNone && now >= call_deadline_) {
     call_ = Call::kNone;
@@ -126,6 +127,7 @@
                  {"version", std::to_string(Version())}}});
   revision_ = 0;
   confirmed_at_.reset();
+  restore_known_ = true;
 }
 
 void ConfigFollower::OnStore(TimeMs now, const PlatformReply& reply,
@@ -155,8 +157,7 @@
   UpdateRevision(now, call, restored, reply);
   for (const PlatformObject& object : reply.objects) {
     if (object.key == settings_.key)
-      TryAdopt(object.value, "", call == Call::kWatch ? "watch" : "read",
-               actions);
+      TryAdopt(object.value, "", SourceOf(call), actions);
   }
   // Nothing has been written yet. The first member to read a version announces
   // it to the others.
@@ -186,33 +187,59 @@
   }
 }
 
-void ConfigFollower::OnVersionAnnounced(TimeMs now, const std::string& link,
-                                        bool same_zone, uint64_t version,
-                                        int64_t age_ms, Actions* actions) {
-  bool confirms = version == Version() && version != 0 && age_ms >= 0;
-  if (confirms && (!confirmed_at_ || now - age_ms > *confirmed_at_))
-    confirmed_at_ = now + -age_ms;
+void ConfigFollower::OnVersionAnnounced(TimeMs now,
+                                        const VersionAnnouncement& announcement,
+                                        Actions* actions) {
+  uint64_t version = announcement.version;
+  if (announcement.generation != 0) restore_known_ = true;
+  if (version == Version() && version != 0)
+    return OnSameVersionAnnounced(now, announcement, actions);
   bool newer = version > Version() && version > pull_version_;
-  if (!newer || link.empty()) return;
+  if (!newer || announcement.link.empty()) return;
   // Without any version no requests are served, which outweighs the cost of
   // cross-zone traffic.
-  if (same_zone || !table_) return Pull(now, link, version, actions);
-  if (version <= cross_zone_version_) return;
-  if (cross_zone_version_ == 0) {
+  if (announcement.same_zone || !table_)
+    return Pull(now, announcement, actions);
+  if (version <= cross_zone_.version) return;
+  if (cross_zone_.version == 0) {
     int64_t jitter_ms = static_cast<int64_t>(random_.Below(
         static_cast<uint64_t>(settings_.cross_zone_pull_delay_ms)));
     cross_zone_pull_at_ = now + settings_.cross_zone_pull_delay_ms + jitter_ms;
   }
-  cross_zone_version_ = version;
-  cross_zone_link_ = link;
+  cross_zone_ = announcement;
 }
 
-void ConfigFollower::Pull(TimeMs now, const std::string& link, uint64_t version,
+/// A peer has the same version. Its confirmation counts unless it has another
+/// text; if the peer's text was read from a store that has been restored since
+/// this member's was, it replaces that.
+void ConfigFollower::OnSameVersionAnnounced(
+    TimeMs now, const VersionAnnouncement& announcement, Actions* actions) {
+  bool same_text =
+      announcement.generation == 0 || announcement.hash == text_hash_;
+  bool later_read = announcement.generation > document_generation_;
+  if (!same_text) {
+    bool pulling = pull_version_ != 0 || announcement.link.empty();
+    if (later_read && !pulling) Pull(now, announcement, actions);
+    return;
+  }
+  if (later_read) document_generation_ = announcement.generation;
+  if (announcement.age_ms < 0) return;
+  TimeMs confirmed_at = now + -announcement.age_ms;
+  if (!confirmed_at_ || confirmed_at > *confirmed_at_)
+    confirmed_at_ = confirmed_at;
+}
+
+void ConfigFollower::Pull(TimeMs now, const VersionAnnouncement& announcement,
                           Actions* actions) {
-  pull_version_ = version;
+  pull_version_ = announcement.version;
+  pull_generation_ = announcement.generation;
   pull_deadline_ = now + settings_.pull_timeout_ms;
   counters_.Add("config_pulls_total");
-  actions->push_back(PullDocument{link, DocumentRequest{Version()}});
+  // Another text of the active version is not sent to a peer that names it.
+  bool replaces = announcement.version == Version();
+  uint64_t have_version = replaces ? Version() - 1 : Version();
+  actions->push_back(
+      PullDocument{announcement.link, DocumentRequest{have_version}});
 }
 
 DocumentReply ConfigFollower::OnDocumentRequest(
@@ -222,11 +249,15 @@
 }
 
 void ConfigFollower::OnDocument(const DocumentReply& reply, Actions* actions) {
+  bool replaces = reply.version != 0 && reply.version == Version() &&
+                  reply.version == pull_version_;
+  bool wanted = reply.version > Version() || replaces;
+  std::optional<std::string> text;
+  if (wanted) text = Decompress(reply.packed, settings_.max_document_bytes);
+  if (text) TryAdopt(*text, reply.packed, Source::kPeer, actions);
   pull_version_ = 0;
-  if (reply.version <= Version()) return;
-  std::optional<std::string> text =
-      Decompress(reply.packed, settings_.max_document_bytes);
-  if (text) return TryAdopt(*text, reply.packed, "peer", actions);
+  pull_generation_ = 0;
+  if (text || !wanted) return;
   counters_.Add("config_ignored_total", "damaged");
   actions->push_back(LogRecord{
       LogLevel::kError,
@@ -237,18 +268,41 @@
        {"in_force", std::to_string(Version())}}});
 }
 
+const char* ConfigFollower::NameOf(Source source) {
+  constexpr std::array<const char*, 4> kNames = {"read", "read", "watch",
+                                                 "peer"};
+  return kNames[static_cast<size_t>(source)];
+}
+
+ConfigFollower::Source ConfigFollower::SourceOf(Call call) {
+  if (call == Call::kWatch) return Source::kWatch;
+  return call == Call::kStaleRead ? Source::kStaleRead : Source::kRead;
+}
+
+/// Whether a document with this number may replace the active one. After a
+/// restore the operators may give out a lost number again: the text that the
+/// restored store holds then replaces one that was read from it before.
+bool ConfigFollower::Supersedes(uint64_t version, Source source) const {
+  if (version != Version()) return version > Version();
+  if (source == Source::kPeer)
+    return pull_version_ == version && pull_generation_ > document_generation_;
+  return source != Source::kStaleRead && generation_ > document_generation_;
+}
+
 /// Adopts a document if it is valid and newer. `packed` is its compressed form,
 /// empty if it was received uncompressed.
 void ConfigFollower::TryAdopt(const std::string& text, std::string packed,
-                              const char* source, Actions* actions) {
+                              Source source, Actions* actions) {
   uint64_t hash = FastHash(text);
+  bool from_store = source == Source::kRead || source == Source::kWatch;
+  if (hash == text_hash_ && from_store) document_generation_ = generation_;
   if (hash == text_hash_ || hash == rejected_hash_) return;
   std::string problem;
   Result<RouteConfiguration> read = reader_->ReadConfiguration(text);
   RouteTablePtr table;
   if (const Error* error = ErrorOf(read)) {
     problem = error->detail;
-  } else if (ValueOf(read)->version <= Version()) {
+  } else if (!Supersedes(ValueOf(read)->version, source)) {
     counters_.Add("config_ignored_total", "older");
     return;
   } else {
@@ -265,7 +319,7 @@
     actions->push_back(LogRecord{LogLevel::kError,
                                  "version_rejected",
                                  {{"problem", problem},
-                                  {"source", source},
+                                  {"source", NameOf(source)},
                                   {"in_force", std::to_string(Version())}}});
     return;
   }
@@ -275,7 +329,7 @@
                 "version_adopted",
                 {{"version", std::to_string(table->Version())},
                  {"before", std::to_string(Version())},
-                 {"source", source},
+                 {"source", NameOf(source)},
                  {"bytes", std::to_string(text.size())},
                  {"packed_bytes", std::to_string(packed.size())},
                  {"routes", std::to_string(table->Config().routes.size())}}});
@@ -283,7 +337,10 @@
   packed_ = std::move(packed);
   text_hash_ = hash;
   text_bytes_ = text.size();
-  counters_.Add("config_adopted_total", source);
+  if (from_store) document_generation_ = generation_;
+  if (source == Source::kPeer) document_generation_ = pull_generation_;
+  if (source == Source::kStaleRead) document_generation_ = 0;
+  counters_.Add("config_adopted_total", NameOf(source));
   actions->push_back(TableAdopted{std::move(table)});
 }
 
--- a/banyanloft/mesh/config_follower.h
+++ b/banyanloft/mesh/config_follower.h
@@ -26,6 +26,20 @@
       const std::string& text) const = 0;
 };
 
+/// A peer's announcement of its active version.
+struct VersionAnnouncement {
+  std::string link;        ///< Link address of the peer.
+  bool same_zone = false;  ///< The peer is in this member's zone.
+  uint64_t version = 0;
+  /// Time since the store was last known to hold nothing newer, in ms,
+  /// according to the peer; negative if unknown.
+  int64_t age_ms = -1;
+  /// If the store was restored: its generation when the peer's document was
+  /// read from it, and the hash of the document. Otherwise 0.
+  uint64_t generation = 0;
+  uint64_t hash = 0;
+};
+
 /// Settings of ConfigFollower.
 struct ConfigFollowerSettings {
   std::string prefix = "documents/";     ///< Key prefix to list and watch.
@@ -79,7 +93,8 @@
 /// Keeps the active configuration up to date with the store. Some members
 /// watch the store; the others pull versions that peers announce by gossip, and
 /// poll the store as a fallback. A version is adopted as a whole, and only if
-/// its number is higher. If a document is invalid, the last valid version stays
+/// its number is higher, or the same with another text after a restore of the
+/// store. If a document is invalid, the last valid version stays
 /// active. Deterministic; not thread safe; free of I/O.
 class ConfigFollower {
  public:
@@ -97,11 +112,9 @@
   /// the document and announce it, and the others pull it from them in
   /// compressed form.
   void OnStartupLoad(TimeMs now, const StartupLoad& load);
-  /// A peer announced its active version. `same_zone`: the peer is in this
-  /// member's zone. `age_ms`: time since the store was last known to hold
-  /// nothing newer, according to the peer; negative if unknown.
-  void OnVersionAnnounced(TimeMs now, const std::string& link, bool same_zone,
-                          uint64_t version, int64_t age_ms, Actions* actions);
+  /// A peer announced its active version.
+  void OnVersionAnnounced(TimeMs now, const VersionAnnouncement& announcement,
+                          Actions* actions);
   /// A peer requests the document.
   DocumentReply OnDocumentRequest(const DocumentRequest& request) const;
   /// A peer sent its document.
@@ -119,23 +132,37 @@
   int64_t VersionAgeMs(TimeMs now) const {
     return confirmed_at_ ? now - *confirmed_at_ : -1;
   }
+  /// What VersionAnnouncement tells of the active document after a restore of
+  /// the store that this member or a peer saw; 0 if there was none.
+  uint64_t DocumentGeneration() const {
+    return restore_known_ ? document_generation_ : 0;
+  }
+  uint64_t DocumentHash() const { return text_hash_; }
   /// False while calls to the store fail.
   bool StoreReachable() const { return failures_ == 0; }
   const Counters& Counts() const { return counters_; }
 
  private:
   enum class Call : uint8_t { kNone, kRead, kStaleRead, kWatch };
+  /// Where a document came from.
+  enum class Source : uint8_t { kRead, kStaleRead, kWatch, kPeer };
+  static const char* NameOf(Source source);
+  static Source SourceOf(Call call);
 
   bool CallDue(TimeMs now, bool watching) const;
   void StartCall(TimeMs now, bool watching, Actions* actions);
   bool ShowsRestore(const PlatformReply& reply) const;
   void OnRestored(const PlatformReply& reply, Actions* actions);
+  bool Supersedes(uint64_t version, Source source) const;
+  void OnSameVersionAnnounced(TimeMs now,
+                              const VersionAnnouncement& announcement,
+                              Actions* actions);
   void UpdateRevision(TimeMs now, Call call, bool restored,
                       const PlatformReply& reply);
   void OnCallFailed(TimeMs now, const std::string& reason, Actions* actions);
-  void Pull(TimeMs now, const std::string& link, uint64_t version,
+  void Pull(TimeMs now, const VersionAnnouncement& announcement,
             Actions* actions);
-  void TryAdopt(const std::string& text, std::string packed, const char* source,
+  void TryAdopt(const std::string& text, std::string packed, Source source,
                 Actions* actions);
 
   ConfigFollowerSettings settings_;
@@ -148,6 +175,10 @@
   uint64_t rejected_hash_ = 0;  ///< Hash of the last document rejected.
   uint64_t revision_ = 0;       ///< Store revision of the last reply.
   uint64_t generation_ = 0;     ///< Of the store; see PlatformReply.
+  bool restore_known_ = false;  ///< This member or a peer saw a restore.
+  /// Generation of the store when the active document was last read from it, by
+  /// this member or by the peers that it came from; 0 if unknown.
+  uint64_t document_generation_ = 0;
   Call call_ = Call::kNone;
   TimeMs call_deadline_;
   TimeMs next_call_;
@@ -157,12 +188,12 @@
   /// a peer that announced the version.
   std::optional<TimeMs> confirmed_at_;
   int failures_ = 0;
-  uint64_t pull_version_ = 0;  ///< Version being pulled; 0: none.
+  uint64_t pull_version_ = 0;     ///< Version being pulled; 0: none.
+  uint64_t pull_generation_ = 0;  ///< Generation of that version's document.
   TimeMs pull_deadline_;
-  /// Newest version announced only from another zone; 0: none.
-  uint64_t cross_zone_version_ = 0;
-  std::string cross_zone_link_;  ///< Link of the peer that announced it.
-  TimeMs cross_zone_pull_at_;    ///< When to pull it from that peer.
+  /// Newest version announced only from another zone; version 0: none.
+  VersionAnnouncement cross_zone_;
+  TimeMs cross_zone_pull_at_;  ///< When to pull it from that peer.
   Counters counters_;
 };
 
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -224,9 +224,13 @@
   if (!new_suspicions.empty()) membership_.QueueCrashSuspicions(new_suspicions);
   ConfigFollower::Actions changes;
   bool same_zone = datagram.zone == settings_.zone;
-  config_.OnVersionAnnounced(now, datagram.from_link, same_zone,
-                             datagram.version, datagram.version_age_ms,
-                             &changes);
+  VersionAnnouncement announcement{datagram.from_link,
+                                   same_zone,
+                                   datagram.version,
+                                   datagram.version_age_ms,
+                                   datagram.document_generation,
+                                   datagram.document_hash};
+  config_.OnVersionAnnounced(now, announcement, &changes);
   DispatchConfig(now, std::move(changes), actions);
 }
 
@@ -488,6 +492,8 @@
 void MeshNode::FillVersion(TimeMs now, Datagram* datagram) const {
   datagram->version = config_.Version();
   datagram->version_age_ms = config_.VersionAgeMs(now);
+  datagram->document_generation = config_.DocumentGeneration();
+  datagram->document_hash = config_.DocumentHash();
 }
 
 void MeshNode::SendDatagrams(TimeMs now, std::vector<DatagramOut> list,
--- a/tests/config_follower_test.cc
+++ b/tests/config_follower_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "banyanloft/core/compress.h"
+#include "banyanloft/core/digest.h"
 
 using namespace banyanloft;
 
@@ -66,6 +67,14 @@
       reply.objects.push_back({ConfigFollowerSettings().key, revision, value});
     follower_.OnStore(now, reply, &actions_);
   }
+  /// A peer announces the version that `text` begins with, read from a store of
+  /// this generation 10 ms ago.
+  void Announce(TimeMs now, uint64_t generation, const std::string& text) {
+    uint64_t version = std::strtoull(text.c_str(), nullptr, 10);
+    follower_.OnVersionAnnounced(
+        now, {"peer:1", true, version, 10, generation, FastHash(text)},
+        &actions_);
+  }
   void Failure(TimeMs now, ErrorKind kind) {
     PlatformReply reply;
     reply.error = Error{kind, "test"};
@@ -156,7 +165,7 @@
   follower_.Tick(TimeMs(0), false, &actions_);
   Store(TimeMs(5), "3", 100);
   for (int64_t ms = 1000; ms <= 60000; ms += 1000) {
-    follower_.OnVersionAnnounced(TimeMs(ms), "peer:1", true, 3, 2500,
+    follower_.OnVersionAnnounced(TimeMs(ms), {"peer:1", true, 3, 2500, 0, 0},
                                  &actions_);
     follower_.Tick(TimeMs(ms), false, &actions_);
   }
@@ -171,12 +180,13 @@
   // Peers are alive, but none has reached the store since: their confirmation
   // ages.
   for (int64_t ms = 500; ms < poll_ms; ms += 500) {
-    follower_.OnVersionAnnounced(TimeMs(ms), "peer:1", true, 3, ms, &actions_);
+    follower_.OnVersionAnnounced(TimeMs(ms), {"peer:1", true, 3, ms, 0, 0},
+                                 &actions_);
     follower_.Tick(TimeMs(ms), false, &actions_);
   }
   LONGS_EQUAL(1, Count<PlatformCall>());
-  follower_.OnVersionAnnounced(TimeMs(poll_ms), "peer:1", true, 3, poll_ms,
-                               &actions_);
+  follower_.OnVersionAnnounced(TimeMs(poll_ms),
+                               {"peer:1", true, 3, poll_ms, 0, 0}, &actions_);
   follower_.Tick(TimeMs(poll_ms), false, &actions_);
   LONGS_EQUAL(2, Count<PlatformCall>());
   CHECK(LastCall()->allow_stale);
@@ -200,24 +210,30 @@
 TEST(config_follower, confirmationOfOlderVersion_isIgnored) {
   follower_.Tick(TimeMs(0), false, &actions_);
   Store(TimeMs(0), "3", 100);
-  follower_.OnVersionAnnounced(TimeMs(4000), "peer:1", true, 2, 0, &actions_);
+  follower_.OnVersionAnnounced(TimeMs(4000), {"peer:1", true, 2, 0, 0, 0},
+                               &actions_);
   LONGS_EQUAL(4000, follower_.VersionAgeMs(TimeMs(4000)));
 }
 
 TEST(config_follower, newerVersionAnnounced_isPulledOnce) {
-  follower_.OnVersionAnnounced(TimeMs(0), "peer:1", true, 9, -1, &actions_);
-  follower_.OnVersionAnnounced(TimeMs(1), "peer:2", true, 9, -1, &actions_);
+  follower_.OnVersionAnnounced(TimeMs(0), {"peer:1", true, 9, -1, 0, 0},
+                               &actions_);
+  follower_.OnVersionAnnounced(TimeMs(1), {"peer:2", true, 9, -1, 0, 0},
+                               &actions_);
   LONGS_EQUAL(1, Count<PullDocument>());
   follower_.OnDocument(DocumentReply{9, Compress("9")}, &actions_);
   LONGS_EQUAL(9, follower_.Version());
-  follower_.OnVersionAnnounced(TimeMs(10), "peer:1", true, 9, -1, &actions_);
+  follower_.OnVersionAnnounced(TimeMs(10), {"peer:1", true, 9, -1, 0, 0},
+                               &actions_);
   LONGS_EQUAL(1, Count<PullDocument>());
 }
 
 TEST(config_follower, pullTimedOut_isRetriedAtAnotherPeer) {
-  follower_.OnVersionAnnounced(TimeMs(0), "peer:1", true, 9, -1, &actions_);
+  follower_.OnVersionAnnounced(TimeMs(0), {"peer:1", true, 9, -1, 0, 0},
+                               &actions_);
   follower_.Tick(TimeMs(1000), false, &actions_);
-  follower_.OnVersionAnnounced(TimeMs(1001), "peer:2", true, 9, -1, &actions_);
+  follower_.OnVersionAnnounced(TimeMs(1001), {"peer:2", true, 9, -1, 0, 0},
+                               &actions_);
   LONGS_EQUAL(2, Count<PullDocument>());
 }
 
@@ -231,9 +247,11 @@
 /// long documents, short intervals and slow links, one pull per zone must do.
 TEST(config_follower, announcementFromOtherZone_ownZoneIsPreferred) {
   follower_.OnDocument(DocumentReply{3, Compress("3")}, &actions_);
-  follower_.OnVersionAnnounced(TimeMs(0), "remote:1", false, 9, -1, &actions_);
+  follower_.OnVersionAnnounced(TimeMs(0), {"remote:1", false, 9, -1, 0, 0},
+                               &actions_);
   LONGS_EQUAL(0, Count<PullDocument>());
-  follower_.OnVersionAnnounced(TimeMs(100), "peer:1", true, 9, -1, &actions_);
+  follower_.OnVersionAnnounced(TimeMs(100), {"peer:1", true, 9, -1, 0, 0},
+                               &actions_);
   LONGS_EQUAL(1, Count<PullDocument>());
   follower_.OnDocument(DocumentReply{9, Compress("9")}, &actions_);
   follower_.Tick(TimeMs(5000), false, &actions_);
@@ -243,8 +261,10 @@
 TEST(config_follower, announcementFromOtherZoneOnly_isPulledAfterDelay) {
   follower_.OnDocument(DocumentReply{3, Compress("3")}, &actions_);
   ConfigFollowerSettings settings;
-  follower_.OnVersionAnnounced(TimeMs(0), "remote:1", false, 8, -1, &actions_);
-  follower_.OnVersionAnnounced(TimeMs(50), "remote:2", false, 9, -1, &actions_);
+  follower_.OnVersionAnnounced(TimeMs(0), {"remote:1", false, 8, -1, 0, 0},
+                               &actions_);
+  follower_.OnVersionAnnounced(TimeMs(50), {"remote:2", false, 9, -1, 0, 0},
+                               &actions_);
   follower_.Tick(TimeMs(settings.cross_zone_pull_delay_ms - 1), false,
                  &actions_);
   LONGS_EQUAL(0, Count<PullDocument>());
@@ -318,3 +338,91 @@
   follower_.Tick(TimeMs(1010), true, &actions_);
   CHECK(LastCall()->watch_after == uint64_t{91});
 }
+
+// The operator's last version was lost with the restore and was written again
+// under the same number with another text.
+TEST(config_follower, storeRestored_sameNumberWithOtherText_isAdopted) {
+  follower_.Tick(TimeMs(0), true, &actions_);
+  StoreOf(1, TimeMs(5), "7 first", 100);
+  follower_.Tick(TimeMs(10), true, &actions_);
+  Failure(TimeMs(20), ErrorKind::kPlatformUnavailable);
+  follower_.Tick(TimeMs(1000), true, &actions_);
+  StoreOf(2, TimeMs(1005), "7 second", 91);
+  LONGS_EQUAL(2, Count<TableAdopted>());
+  LONGS_EQUAL(7, follower_.Version());
+}
+
+// The copy may still hold the older text when it is read first.
+TEST(config_follower, storeRestored_textIsReplacedLater_isAdopted) {
+  follower_.Tick(TimeMs(0), true, &actions_);
+  StoreOf(1, TimeMs(5), "7 first", 100);
+  follower_.Tick(TimeMs(10), true, &actions_);
+  Failure(TimeMs(20), ErrorKind::kPlatformUnavailable);
+  follower_.Tick(TimeMs(1000), true, &actions_);
+  StoreOf(2, TimeMs(1005), "5 old", 90);
+  follower_.Tick(TimeMs(1010), true, &actions_);
+  StoreOf(2, TimeMs(1200), "7 second", 92);
+  LONGS_EQUAL(2, Count<TableAdopted>());
+}
+
+TEST(config_follower, storeNotRestored_sameNumberWithOtherText_isIgnored) {
+  follower_.Tick(TimeMs(0), true, &actions_);
+  StoreOf(2, TimeMs(5), "7 first", 100);
+  follower_.Tick(TimeMs(10), true, &actions_);
+  StoreOf(2, TimeMs(20), "7 second", 101);
+  LONGS_EQUAL(1, Count<TableAdopted>());
+}
+
+TEST(config_follower, storeRestored_olderVersion_isNeverAdopted) {
+  follower_.Tick(TimeMs(0), true, &actions_);
+  StoreOf(1, TimeMs(5), "7", 100);
+  follower_.Tick(TimeMs(10), true, &actions_);
+  StoreOf(2, TimeMs(1005), "6", 91);
+  follower_.Tick(TimeMs(1010), true, &actions_);
+  StoreOf(2, TimeMs(1015), "6", 91);
+  LONGS_EQUAL(7, follower_.Version());
+}
+
+// A member that does not watch learns of the other text from its peers.
+TEST(config_follower, peerReadAnotherTextAfterARestore_itIsPulled) {
+  follower_.Tick(TimeMs(0), false, &actions_);
+  StoreOf(1, TimeMs(5), "7 first", 100);
+  Announce(TimeMs(1000), 2, "7 second");
+  LONGS_EQUAL(1, Count<PullDocument>());
+  follower_.OnDocument(DocumentReply{7, Compress("7 second")}, &actions_);
+  LONGS_EQUAL(2, Count<TableAdopted>());
+  // A peer that has not heard of it yet must not bring the first text back.
+  Announce(TimeMs(1100), 1, "7 first");
+  LONGS_EQUAL(1, Count<PullDocument>());
+  LONGS_EQUAL(2, follower_.DocumentGeneration());
+}
+
+TEST(config_follower, peerReadTheSameTextAfterARestore_nothingIsPulled) {
+  follower_.Tick(TimeMs(0), false, &actions_);
+  StoreOf(1, TimeMs(5), "7 first", 100);
+  LONGS_EQUAL(0, follower_.DocumentGeneration());
+  Announce(TimeMs(1000), 2, "7 first");
+  LONGS_EQUAL(0, Count<PullDocument>());
+  LONGS_EQUAL(2, follower_.DocumentGeneration());
+}
+
+// Started after the restore, it reads the old copy and then gets the first text
+// from a peer; the operator writes the second one.
+TEST(config_follower, restartedDaemon_firstTextFromAPeer_isReplacedByTheStore) {
+  follower_.Tick(TimeMs(0), true, &actions_);
+  StoreOf(2, TimeMs(5), "5 old", 90);
+  Announce(TimeMs(10), 1, "7 first");
+  follower_.OnDocument(DocumentReply{7, Compress("7 first")}, &actions_);
+  LONGS_EQUAL(7, follower_.Version());
+  follower_.Tick(TimeMs(20), true, &actions_);
+  StoreOf(2, TimeMs(500), "7 second", 92);
+  LONGS_EQUAL(3, Count<TableAdopted>());
+  LONGS_EQUAL(2, follower_.DocumentGeneration());
+}
+
+TEST(config_follower, peerConfirmsAnotherText_confirmationDoesNotCount) {
+  follower_.Tick(TimeMs(0), true, &actions_);
+  StoreOf(2, TimeMs(5), "7 second", 91);
+  Announce(TimeMs(3000), 1, "7 first");
+  LONGS_EQUAL(2995, follower_.VersionAgeMs(TimeMs(3000)));
+}
--- a/tests/link_test.cc
+++ b/tests/link_test.cc
@@ -199,6 +199,19 @@
   CHECK(holds);
 }
 
+TEST(link, datagramAfterARestore_carriesTheDocumentsGeneration) {
+  Datagram datagram;
+  datagram.from = 5;
+  size_t plain = EncodeDatagram(datagram, kSecret).size();
+  datagram.document_hash = 77;
+  LONGS_EQUAL(plain, EncodeDatagram(datagram, kSecret).size());
+  datagram.document_generation = 3;
+  Result<Datagram> read =
+      DecodeDatagram(EncodeDatagram(datagram, kSecret), kSecret);
+  LONGS_EQUAL(3, ValueOf(read)->document_generation);
+  LONGS_EQUAL(77, ValueOf(read)->document_hash);
+}
+
 TEST(link, datagramWithAnotherSecret_isRejected) {
   Datagram datagram;
   datagram.from = 5;
--- a/tests/thundering_herd_test.cc
+++ b/tests/thundering_herd_test.cc
@@ -112,7 +112,8 @@
   ConfigFollower follower(ConfigFollowerSettings(), 1, TimeMs(0), &reader_);
   ConfigFollower::Actions actions;
   follower.OnStartupLoad(TimeMs(50), StartupLoad{90, 328000});
-  follower.OnVersionAnnounced(TimeMs(60), "peer:1", false, 9, -1, &actions);
+  follower.OnVersionAnnounced(TimeMs(60), {"peer:1", false, 9, -1, 0, 0},
+                              &actions);
   CHECK(std::holds_alternative<PullDocument>(actions.back()));
   // No read of the store during the pull, nor after it.
   actions.clear();
@@ -127,7 +128,8 @@
   ConfigFollowerSettings settings;
   ConfigFollower follower(settings, 1, TimeMs(0), &reader_);
   ConfigFollower::Actions actions;
-  follower.OnVersionAnnounced(TimeMs(60), "peer:1", true, 9, -1, &actions);
+  follower.OnVersionAnnounced(TimeMs(60), {"peer:1", true, 9, -1, 0, 0},
+                              &actions);
   follower.OnDocument(DocumentReply{9, Compress("9")}, &actions);
   actions.clear();
   follower.Tick(TimeMs(settings.startup_load_wait_ms), false, &actions);
@@ -139,7 +141,8 @@
   ConfigFollowerSettings settings;
   ConfigFollower follower(settings, 1, TimeMs(0), &reader_);
   ConfigFollower::Actions actions;
-  follower.OnVersionAnnounced(TimeMs(60), "peer:1", true, 9, -1, &actions);
+  follower.OnVersionAnnounced(TimeMs(60), {"peer:1", true, 9, -1, 0, 0},
+                              &actions);
   actions.clear();
   follower.Tick(TimeMs(60 + settings.pull_timeout_ms), false, &actions);
   LONGS_EQUAL(1, actions.size());
