Stand-in and soak: a store that returns from an older copy

Change: the simulated store names its generation, keeps a copy, and returns to it, with revisions given out again and watches cut off. tests/mesh_processes.sh restores it after a version was written, which the operator then writes under the same number with another route.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -17,9 +17,10 @@
 constexpr uint64_t kMaxSteps = 4;
 constexpr uint64_t kMaxSeriesLength = 4;
 constexpr int64_t kSeriesGapMs = 700;
-/// The last kind is drawn apart from the others, so that the plans of earlier
-/// seeds stay as they are except for it.
-constexpr uint64_t kDrawnKinds = kFaultKinds - 1;
+/// The last two kinds are drawn apart from the others, so that the plans of
+/// earlier seeds stay as they are except for them.
+constexpr uint64_t kDrawnKinds = kFaultKinds - 2;
+constexpr int kRestorePermille = 300;
 constexpr int kLimitPermille = 400;
 
 constexpr std::array<FaultKind, 5> kPlannedKinds = {
@@ -52,7 +53,8 @@
       "crash_backend",
       "drain_backend",
       "change_config",
-      "limit_backend"};
+      "limit_backend",
+      "store_restored"};
   return kNames[static_cast<size_t>(kind)];
 }
 
@@ -112,6 +114,11 @@
               FaultKind::kLimitBackend);
     plan.faults.back().duration_ms = settings.limit_duration_ms;
   }
+  if (!plan.planned_only && random.ChancePermille(kRestorePermille)) {
+    add_fault(static_cast<int64_t>(
+                  random.Below(static_cast<uint64_t>(settings.span_ms))),
+              FaultKind::kRestoreStore);
+  }
   std::stable_sort(
       plan.faults.begin(), plan.faults.end(),
       [](const Fault& a, const Fault& b) { return a.start_ms < b.start_ms; });
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -28,9 +28,10 @@
   kDrainBackend,   ///< It drains and stops; another takes its address.
   kChangeConfig,   ///< Writes a new version of the configuration.
   kLimitBackend,   ///< It names a limit of its request rate.
+  kRestoreStore,   ///< It is down and returns from an older copy.
 };
 inline constexpr size_t kFaultKinds =
-    static_cast<size_t>(FaultKind::kLimitBackend) + 1;
+    static_cast<size_t>(FaultKind::kRestoreStore) + 1;
 
 /// Name of a kind in reports.
 const char* NameOf(FaultKind kind);
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -37,6 +37,7 @@
 constexpr int64_t kDrainStayMs = 3000;
 constexpr int kAbortPermille = 10;
 constexpr int64_t kAbortAfterMs = 30;
+constexpr int64_t kCopyIntervalMs = 4000;  ///< Between copies of the store.
 /// Limit that a backend server names, in requests per second: a fifth of its
 /// share of the load.
 constexpr double kBackendLimitPerSecond = 5;
@@ -82,6 +83,7 @@
 StoreFault StoreFaultOf(FaultKind kind) {
   switch (kind) {
     case FaultKind::kStoreDown:
+    case FaultKind::kRestoreStore:
       return StoreFault::kUnavailable;
     case FaultKind::kStoreDropsResponses:
       return StoreFault::kDropsResponses;
@@ -143,6 +145,10 @@
 
 void Soak::OnTick() {
   TimeMs now = SteadyClock().Now();
+  if (now >= next_copy_) {
+    store_.SaveCopy();
+    next_copy_ = now + kCopyIntervalMs;
+  }
   ReapDaemons();
   if (load_running_ && now >= load_start_) {
     requests_due_permille_ += settings_.rate * kTickMs;
@@ -307,6 +313,8 @@
       return InjectBackendFault(fault, instance);
     case FaultKind::kChangeConfig:
       return ChangeConfiguration();
+    case FaultKind::kRestoreStore:
+      return RestoreStore(fault);
     case FaultKind::kLimitBackend:
       return LimitBackend(fault, instance);
   }
@@ -366,6 +374,16 @@
   });
 }
 
+/// What was written since the last copy is lost; the operator writes its last
+/// version again.
+void Soak::RestoreStore(const Fault& fault) {
+  InjectStoreFault(fault);
+  RunAfter(fault.duration_ms, [this] {
+    store_.Restore();
+    store_.Put("config", "main", ConfigurationOf(version_));
+  });
+}
+
 void Soak::InjectBackendFault(const Fault& fault, Instance* instance) {
   if (instance->Backend() == nullptr || instance->Backend()->Draining()) return;
   bool is_drain = fault.kind == FaultKind::kDrainBackend;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -53,6 +53,7 @@
   void InjectConnectionFault(const Fault& fault, Instance* instance);
   void InjectStoreFault(const Fault& fault);
   void InjectBackendFault(const Fault& fault, Instance* instance);
+  void RestoreStore(const Fault& fault);
   void LimitBackend(const Fault& fault, Instance* instance);
   void ChangeConfiguration();
   void MarkDisturbed(Instance* instance, int64_t duration_ms);
@@ -71,6 +72,7 @@
   TimeMs load_start_;
   TimeMs faults_end_;  ///< End of the last fault.
   TimeMs store_disturbed_until_;
+  TimeMs next_copy_;
   uint64_t store_fault_token_ = 0;  ///< Of the latest fault of the store.
   uint64_t next_store_fault_ = 1;
   uint64_t next_request_ = 1;
--- a/standins/mesh_standin.cc
+++ b/standins/mesh_standin.cc
@@ -71,10 +71,6 @@
 
 TimeMs Now() { return SteadyClock().Now(); }
 
-std::vector<Json> NewRoute() {
-  return {MeshRoute("new", "safe", "/new/", "pledges")};
-}
-
 /// Generates the load and checks the invariants.
 class MeshLoadTest final : public BackendObserver {
  public:
@@ -164,6 +160,7 @@
   static constexpr size_t kUnreportedBackend = 2;
   static constexpr size_t kLimitedBackend = 3;
   static constexpr double kLimitPerSecond = 6;
+  static constexpr int64_t kStoreOutageMs = 300;
 
   void OnRequestStarted(const MeshBackend&, const std::string& id,
                         const HttpRequest& request) override {
@@ -198,6 +195,10 @@
     tick_.async_wait([this](boost::system::error_code) { OnTick(); });
   }
 
+  std::vector<Json> NewRoute() const {
+    return {MeshRoute("new", "safe", new_prefix_, "pledges")};
+  }
+
   void OnTick() {
     int64_t elapsed_ms = Now() - load_start_;
     if (elapsed_ms > options_.seconds * 1000) {
@@ -220,11 +221,29 @@
     }
     if (elapsed_ms >= options_.seconds * 400 && config_changed_at_ms_ < 0) {
       config_changed_at_ms_ = elapsed_ms;
+      store_.SaveCopy();
       store_.Put("config", "main", MeshConfiguration(2, NewRoute()));
     }
+    if (elapsed_ms >= options_.seconds * 550 && !store_down_) {
+      store_down_ = true;
+      store_.SetFault(StoreFault::kUnavailable);
+    }
+    bool back = elapsed_ms >= options_.seconds * 550 + kStoreOutageMs;
+    if (back && !store_restored_) RestoreStore(elapsed_ms);
     Tick();
   }
 
+  /// The store returns from the copy of before the last version, which the
+  /// operator writes again under the same number with another route.
+  void RestoreStore(int64_t elapsed_ms) {
+    store_restored_ = true;
+    store_.Restore();
+    store_.SetFault(StoreFault::kNone);
+    new_prefix_ = "/again/";
+    config_changed_at_ms_ = elapsed_ms;
+    store_.Put("config", "main", MeshConfiguration(2, NewRoute()));
+  }
+
   void SendRequest(int64_t elapsed_ms, bool burst) {
     bool new_route =
         config_changed_at_ms_ >= 0 &&
@@ -236,7 +255,7 @@
     records_[id].burst = burst;
     HttpRequest request;
     request.method = idempotent ? "GET" : "POST";
-    request.target = (new_route    ? "/new/"
+    request.target = (new_route    ? new_prefix_
                       : idempotent ? "/lookup/"
                                    : "/register/") +
                      id;
@@ -271,6 +290,9 @@
   uint64_t next_request_ = 1;
   bool drain_started_ = false;
   bool burst_sent_ = false;
+  bool store_down_ = false;
+  bool store_restored_ = false;
+  std::string new_prefix_ = "/new/";  ///< Of the route added by version 2.
   int64_t config_changed_at_ms_ = -1;
   int invalid_requests_ = 0;
   int mismatched_responses_ = 0;
--- a/standins/mesh_store.cc
+++ b/standins/mesh_store.cc
@@ -52,6 +52,16 @@
   }
 }
 
+void MeshStore::Restore() {
+  objects_ = copy_.objects;
+  revision_ = copy_.revision;
+  compacted_revision_ = std::min(compacted_revision_, revision_);
+  ++era_;
+  std::vector<Watch> pending;
+  pending.swap(watches_);
+  for (const Watch& watch : pending) Reply(watch.request, 503, Json::object());
+}
+
 void MeshStore::OnRequest(uint64_t id, HttpRequest request) {
   switch (fault_) {
     case StoreFault::kUnavailable:
@@ -115,7 +125,8 @@
 void MeshStore::StartWatch(uint64_t id, const std::string& kind,
                            const HttpRequest& request) {
   uint64_t after = std::stoull(QueryOf(request.target, "watch"));
-  if (after < compacted_revision_) return Reply(id, 410, Json::object());
+  if (after < compacted_revision_ || after > revision_)
+    return Reply(id, 410, Json::object());
   Json events = Json::array();
   for (const auto& [name, object] : objects_[kind]) {
     if (object["metadata"]["revision"].get<uint64_t>() > after)
@@ -138,6 +149,7 @@
   HttpResponse response;
   response.status = status;
   response.content_type = "application/json";
+  response.headers.emplace_back(wire::header::kStoreEra, std::to_string(era_));
   response.body = body.dump();
   server_.Reply(id, std::move(response));
 }
--- a/standins/mesh_store.h
+++ b/standins/mesh_store.h
@@ -33,11 +33,22 @@
   /// Discards the history: watches of older revisions get 410.
   void Compact() { compacted_revision_ = revision_; }
 
+  /// Saves a copy of all objects.
+  void SaveCopy() { copy_ = Copy{objects_, revision_}; }
+  /// Returns to the saved copy: what was written since is lost, its revisions
+  /// are given out again, and waiting watches are cut off.
+  void Restore();
+
   void OnRequest(uint64_t id, HttpRequest request) override;
   void OnAbandoned(uint64_t id) override;
   HttpResponse OnRefused(ErrorKind kind) override;
 
  private:
+  using Objects = std::map<std::string, std::map<std::string, Json>>;
+  struct Copy {
+    Objects objects;
+    uint64_t revision = 0;
+  };
   struct Watch {
     uint64_t request;
     std::string kind;
@@ -55,7 +66,9 @@
   StoreFault fault_ = StoreFault::kNone;
   uint64_t revision_ = 0;
   uint64_t compacted_revision_ = 0;  ///< Oldest revision that can be watched.
-  std::map<std::string, std::map<std::string, Json>> objects_;
+  uint64_t era_ = 1;                 ///< Rises with each Restore.
+  Objects objects_;
+  Copy copy_;
   std::vector<Watch> watches_;
 };
 
