Backend notices: one step each, malformed values logged

What callers saw: nothing. A store generation that is no number became 0 without a log line; the handling of a response's notice did three things in one function.

--- a/banyanloft/daemon/metrics_page.cc
+++ b/banyanloft/daemon/metrics_page.cc
@@ -103,6 +103,8 @@
       {"config_read_failures_total", "", "Reads of the store that failed"},
       {"config_store_restored_total", "",
        "Times that the store came back from an older copy"},
+      {"config_generation_malformed_total", "",
+       "Replies of the store whose generation is no number"},
       {"config_history_lost_total", "", "Watches whose history was dropped"},
       {"config_pulls_total", "", "Documents asked of peers"},
       {"config_far_pulls_total", "",
--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -51,8 +51,7 @@
      "state, slots or service of the backend server changed"},
     {"instance_crashed",
      "the backend server crashed; requests that were running"},
-    {"instance_leaving",
-     "a response says that the backend server leaves; its state"},
+    {"instance_leaving", "a response says that the backend server leaves"},
     {"instance_limit",
      "the request rate that the backend server accepts changed; limit now and "
      "before, runs started so far"},
@@ -84,6 +83,8 @@
     {"settings_reloaded",
      "settings reloaded; cause, settings applied, settings that need a "
      "restart"},
+    {"store_generation_malformed",
+     "a reply of the store names a generation that is no number; its text"},
     {"store_restored",
      "the store came back from an older copy; its revision and the one known"},
     {"store_lost", "calls to the store are failing; reason"},
--- a/banyanloft/mesh/admission_controller.h
+++ b/banyanloft/mesh/admission_controller.h
@@ -54,7 +54,7 @@
   /// Wait limit of work that can no longer meet its aim, in 1/1000 of its
   /// remaining time. It queues behind work that still can.
   int64_t late_wait_permille = 250;
-  RateLimiterSettings rate;
+  RateLimiterSettings rate;  ///< Of the limit that the backend server names.
 };
 
 /// A request offered for admission.
@@ -83,10 +83,10 @@
 
 /// Admission control and queueing for one backend server with a limited number
 /// of concurrent requests (slots), which may also limit its request rate.
-/// Handles overload by long work with generous
-/// deadlines and by bursts of short, urgent work: work is refused early if its
-/// expected wait exceeds its limit, so that admitted work is answered in time.
-/// Deterministic; not thread safe; performs no I/O.
+/// Handles overload by long work with generous deadlines and by bursts of
+/// short, urgent work: work is refused early if its expected wait exceeds its
+/// limit, so that admitted work is answered in time. Deterministic; not thread
+/// safe; performs no I/O.
 class AdmissionController {
  public:
   explicit AdmissionController(const AdmissionSettings& settings)
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -44,7 +44,7 @@
 }
 
 std::string TextOf(const std::optional<double>& limit_per_s) {
-  return limit_per_s ? fmt::format("{:.3g}", *limit_per_s) : "none";
+  return limit_per_s ? fmt::format("{:.6g}", *limit_per_s) : "none";
 }
 
 }  // namespace
@@ -381,29 +381,39 @@
 void BackendRunner::OnNotice(TimeMs now, const BackendNotice& notice,
                              const char* source, Actions* actions) {
   noticed_at_ = now;
-  std::optional<double> before = admission_.RateLimit();
-  if (!notice.malformed_limit.empty()) {
+  if (notice.malformed_limit.empty()) {
+    ApplyLimit(now, notice.limit_per_s, source, actions);
+  } else {
     counters_.Add("backend_limits_malformed_total");
     actions->push_back(LogRecord{
         LogLevel::kWarning,
         "instance_limit_malformed",
         {{"instance", registry_.Last().id}, {"text", notice.malformed_limit}}});
-  } else if (notice.limit_per_s != before) {
+  }
+  if (notice.leaving) ApplyLeaving(now, source, actions);
+}
+
+void BackendRunner::ApplyLimit(TimeMs now, std::optional<double> per_s,
+                               const char* source, Actions* actions) {
+  std::optional<double> before = admission_.RateLimit();
+  if (per_s != before) {
     counters_.Add("backend_limit_changes_total");
     actions->push_back(
         LogRecord{LogLevel::kInfo,
                   "instance_limit",
                   {{"instance", registry_.Last().id},
-                   {"limit_per_s", TextOf(notice.limit_per_s)},
+                   {"limit_per_s", TextOf(per_s)},
                    {"before", TextOf(before)},
                    {"source", source},
                    {"runs_started", std::to_string(runs_started_)},
                    {"running", std::to_string(admission_.Running())},
                    {"waiting", std::to_string(admission_.Waiting())}}});
   }
-  if (notice.malformed_limit.empty())
-    SetRateLimit(now, notice.limit_per_s, actions);
-  if (!notice.leaving) return;
+  SetRateLimit(now, per_s, actions);
+}
+
+void BackendRunner::ApplyLeaving(TimeMs now, const char* source,
+                                 Actions* actions) {
   InstanceRegistry::Change change = registry_.OnLeaving(now);
   if (change == InstanceRegistry::Change::kUpdated) {
     counters_.Add("backend_leaving_notices_total");
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -199,6 +199,9 @@
   void RecordBrokenRun(TimeMs now, uint64_t fingerprint, Actions* actions);
   void OnNotice(TimeMs now, const BackendNotice& notice, const char* source,
                 Actions* actions);
+  void ApplyLimit(TimeMs now, std::optional<double> per_s, const char* source,
+                  Actions* actions);
+  void ApplyLeaving(TimeMs now, const char* source, Actions* actions);
   void SetRateLimit(TimeMs now, std::optional<double> per_s, Actions* actions);
   bool MustProbe(TimeMs now) const;
   void OnCrash(TimeMs now, Actions* actions);
@@ -219,8 +222,8 @@
   bool probing_ = false;
   uint64_t probed_start_ = 0;  ///< InstanceRegistry::Starts() at the check.
   TimeMs next_probe_;
-  TimeMs noticed_at_;  ///< Time of the last response or health check.
-  uint64_t runs_started_ = 0;
+  TimeMs noticed_at_;          ///< Time of the last response or health check.
+  uint64_t runs_started_ = 0;  ///< Since the start of this process.
   Counters counters_;
   Histograms histograms_;
 };
--- a/banyanloft/mesh/config_follower.cc
+++ b/banyanloft/mesh/config_follower.cc
@@ -133,6 +133,12 @@
 void ConfigFollower::OnStore(TimeMs now, const PlatformReply& reply,
                              Actions* actions) {
   if (call_ == Call::kNone) return;
+  if (!reply.malformed_generation.empty()) {
+    counters_.Add("config_generation_malformed_total");
+    actions->push_back(LogRecord{LogLevel::kWarning,
+                                 "store_generation_malformed",
+                                 {{"text", reply.malformed_generation}}});
+  }
   bool restored = ShowsRestore(reply);
   if (restored) OnRestored(reply, actions);
   if (restored || generation_ == 0) generation_ = reply.generation;
@@ -218,8 +224,8 @@
       announcement.generation == 0 || announcement.hash == text_hash_;
   bool later_read = announcement.generation > document_generation_;
   if (!same_text) {
-    bool pulling = pull_version_ != 0 || announcement.link.empty();
-    if (later_read && !pulling) Pull(now, announcement, actions);
+    bool may_pull = pull_version_ == 0 && !announcement.link.empty();
+    if (later_read && may_pull) Pull(now, announcement, actions);
     return;
   }
   if (later_read) document_generation_ = announcement.generation;
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -295,6 +295,24 @@
   LONGS_EQUAL(0, Count<StartRun>());
 }
 
+TEST(backend_runner, limitIsNoNumber_earlierLimitHoldsAndItIsLogged) {
+  Report(1);
+  Forward(TimeMs(0), 1, false);
+  Forward(TimeMs(0), 2, false);
+  RunResult result;
+  result.run = Run(0)->run;
+  result.notice = BackendNotice();
+  result.notice->limit_per_s = 7.5;
+  runner_->OnResult(TimeMs(50), result, &actions_);
+  size_t logged = Count<LogRecord>();
+  result.run = Run(1)->run;
+  result.notice->limit_per_s.reset();
+  result.notice->malformed_limit = "many";
+  runner_->OnResult(TimeMs(60), result, &actions_);
+  CHECK(runner_->Admission().RateLimit() == 7.5);
+  LONGS_EQUAL(logged + 1, Count<LogRecord>());
+}
+
 TEST(backend_runner, serverRestartsAfterLeaving_isUsedAgain) {
   Report(1);
   Forward(TimeMs(0), 1, false);
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -373,7 +373,11 @@
     for (int status : {200, 410, 503}) {
       HttpOutcome outcome = OutcomeWith(status, R"({"items":[]})");
       outcome.response.headers.emplace_back("Store-Era", row.text);
-      LONGS_EQUAL(row.generation, ReadStoreOutcome(list, outcome).generation);
+      PlatformReply reply = ReadStoreOutcome(list, outcome);
+      LONGS_EQUAL(row.generation, reply.generation);
+      bool is_number = row.generation != 0 || std::string(row.text) == "0";
+      STRCMP_EQUAL(is_number ? "" : row.text,
+                   reply.malformed_generation.c_str());
     }
   }
   HttpOutcome lost;
