Tests of links and proxies: listen on a free port

What was seen: link/onePeerIsSilent_idleLinksAreChecked failed once beside the soak, at the start of its second proxy. Cause, shown by a run: the test listened on the fixed port 39484, inside the range from which the system takes the ports of outgoing connections; with a connection that has this local port open, the test fails each time. Change: the proxy reports the address that it listens on, and the tests ask for any port.

--- a/soak/instance.cc
+++ b/soak/instance.cc
@@ -33,7 +33,7 @@
   for (size_t i = 0; i < kConnectionTypes; ++i) {
     proxies_[i] = std::make_unique<LoopbackProxy>(
         io_, ProxyEndpoint(static_cast<ConnectionType>(i)), targets[i]);
-    Result<bool> started = proxies_[i]->Start();
+    Result<Endpoint> started = proxies_[i]->Start();
     if (ErrorOf(started) != nullptr) return false;
   }
   HttpClientSettings client;
--- a/soak/loopback_proxy.cc
+++ b/soak/loopback_proxy.cc
@@ -133,7 +133,7 @@
 
 LoopbackProxy::~LoopbackProxy() { SetFault(ProxyFault::kReset); }
 
-Result<bool> LoopbackProxy::Start() {
+Result<Endpoint> LoopbackProxy::Start() {
   ErrorCode error;
   acceptor_.open(listen_.protocol(), error);
   acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
@@ -143,7 +143,8 @@
   if (error)
     return Error{ErrorKind::kInvalidConfiguration, "proxy: " + error.message()};
   Accept();
-  return true;
+  tcp::endpoint bound = acceptor_.local_endpoint();
+  return Endpoint{bound.address().to_string(), bound.port()};
 }
 
 void LoopbackProxy::SetFault(ProxyFault fault) {
--- a/soak/loopback_proxy.h
+++ b/soak/loopback_proxy.h
@@ -33,7 +33,8 @@
   LoopbackProxy(const LoopbackProxy&) = delete;
   LoopbackProxy& operator=(const LoopbackProxy&) = delete;
 
-  Result<bool> Start();
+  /// Returns the address that it listens on; port 0 is replaced by a free one.
+  Result<Endpoint> Start();
   void SetFault(ProxyFault fault);
 
  private:
--- a/tests/link_test.cc
+++ b/tests/link_test.cc
@@ -15,8 +15,7 @@
 namespace {
 
 constexpr char kSecret[] = "secret of the tests";
-const Endpoint kProxyEndpoint{"127.0.0.1", 39483};
-const Endpoint kOtherProxyEndpoint{"127.0.0.1", 39484};
+const Endpoint kAnyPort{"127.0.0.1", 0};
 
 /// Records the events that a hub reports.
 class Recorder final : public LinkListener {
@@ -304,15 +303,15 @@
   settings.verify_after_ms = 100;
   LinkHub peer(io, settings, &b);
   Endpoint at_peer = *ValueOf(peer.Start());
-  soak::LoopbackProxy proxy(io, kProxyEndpoint, at_peer);
-  CHECK(ValueOf(proxy.Start()) != nullptr);
+  soak::LoopbackProxy proxy(io, kAnyPort, at_peer);
+  std::string at_proxy = ValueOf(proxy.Start())->Text();
   LinkHub hub(io, settings, &a);
   hub.Start();
-  hub.Send(kProxyEndpoint.Text(), 0, CancelRun{1});
+  hub.Send(at_proxy, 0, CancelRun{1});
   RunUntil(io, [&] { return b.messages.size() == 1; });
   proxy.SetFault(soak::ProxyFault::kStall);
   RunFor(io, 150);
-  hub.Send(kProxyEndpoint.Text(), 0, Request(2, 10));
+  hub.Send(at_proxy, 0, Request(2, 10));
   RunUntil(io, [&] { return a.not_sent == 1; });
   proxy.SetFault(soak::ProxyFault::kNone);
   RunFor(io, 300);
@@ -349,19 +348,18 @@
   settings.secret = kSecret;
   LinkHub peer(io, settings, &b);
   LinkHub other(io, settings, &b);
-  soak::LoopbackProxy proxy(io, kProxyEndpoint, *ValueOf(peer.Start()));
-  soak::LoopbackProxy other_proxy(io, kOtherProxyEndpoint,
-                                  *ValueOf(other.Start()));
-  CHECK(ValueOf(proxy.Start()) != nullptr);
-  CHECK(ValueOf(other_proxy.Start()) != nullptr);
+  soak::LoopbackProxy proxy(io, kAnyPort, *ValueOf(peer.Start()));
+  soak::LoopbackProxy other_proxy(io, kAnyPort, *ValueOf(other.Start()));
+  std::string at_proxy = ValueOf(proxy.Start())->Text();
+  std::string at_other_proxy = ValueOf(other_proxy.Start())->Text();
   LinkHub hub(io, settings, &a);
   hub.Start();
-  hub.Send(kProxyEndpoint.Text(), 0, CancelRun{1});
-  hub.Send(kOtherProxyEndpoint.Text(), 0, CancelRun{2});
+  hub.Send(at_proxy, 0, CancelRun{1});
+  hub.Send(at_other_proxy, 0, CancelRun{2});
   RunUntil(io, [&] { return b.messages.size() == 2; });
   proxy.SetFault(soak::ProxyFault::kStall);
   other_proxy.SetFault(soak::ProxyFault::kStall);
-  hub.Send(kProxyEndpoint.Text(), 0, Request(3, 10));
+  hub.Send(at_proxy, 0, Request(3, 10));
   RunUntil(io, [&] { return a.silent.size() == 2; });
 }
 
--- a/tests/soak_test.cc
+++ b/tests/soak_test.cc
@@ -14,6 +14,8 @@
 
 namespace {
 
+const Endpoint kAnyPort{"127.0.0.1", 0};
+
 SentRequest RegisterRequest(TimeMs at) {
   SentRequest sent;
   sent.sent_at = at;
@@ -188,12 +190,11 @@
 };
 
 TEST(soak_loopback_proxy, faults_stallDelayAndReset) {
-  constexpr uint16_t kPort = 19873;
   Endpoint target{"127.0.0.1", server_.local_endpoint().port()};
-  LoopbackProxy proxy(io_, {"127.0.0.1", kPort}, target);
-  Result<bool> started = proxy.Start();
+  LoopbackProxy proxy(io_, kAnyPort, target);
+  Result<Endpoint> started = proxy.Start();
   CHECK(ErrorOf(started) == nullptr);
-  Connect(kPort);
+  Connect(ValueOf(started)->port);
   SendByte();
   Run(100);
   CHECK(reply_received_);
