Backend runner: the first report asks for a health check at once

Change: a first report that needs confirmation sends the check without the usual pause. Evidence: backend_runner/firstReport_asksForAHealthCheckAtOnce, which counts one check on the code before.

--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -305,6 +305,10 @@
                              Actions* actions) {
   if (report.slots > 0) admission_.SetSlots(report.slots);
   OnInstanceChange(now, registry_.OnReport(now, report), actions);
+  if (!registry_.NeedsHealthCheck()) return;
+  // A server that reports can also answer.
+  next_probe_ = now;
+  Probe(now, actions);
 }
 
 void BackendRunner::OnDeregistered(TimeMs now, const std::string& instance,
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -235,6 +235,16 @@
   CHECK(AnswerOf(1)->run_state == RunState::kNotRun);
 }
 
+// The server starts after its daemon: an earlier check found nothing.
+TEST(backend_runner, firstReport_asksForAHealthCheckAtOnce) {
+  runner_->Tick(TimeMs(20), &actions_);
+  runner_->OnProbed(TimeMs(21), ProbeResult{false, "", {}}, &actions_);
+  runner_->OnReport(TimeMs(30), ReportOf(1), &actions_);
+  LONGS_EQUAL(2, Count<ProbeInstance>());
+  runner_->OnReport(TimeMs(1530), ReportOf(2), &actions_);
+  LONGS_EQUAL(2, Count<ProbeInstance>());
+}
+
 TEST(backend_runner, reportsInSeries_unhealthyAnswer_changesNothing) {
   runner_->OnReport(TimeMs(0), ReportOf(20), &actions_);
   runner_->OnReport(TimeMs(1500), ReportOf(21), &actions_);
