Config follower: a stale read does not move the start of a watch

Cause: a stale read's revision became the start of the next watch, also if what it held was older than that revision. Change: only fresh reads and watches set it. Evidence: config_follower/staleRead_doesNotMoveTheStartOfTheWatch, which expects 100 where the line that is gone gave 120.

--- a/banyanloft/mesh/config_follower.cc
+++ b/banyanloft/mesh/config_follower.cc
@@ -185,12 +185,9 @@
   }
   next_call_ = call == Call::kWatch ? now : now + settings_.poll_ms;
   if (call != Call::kStaleRead) confirmed_at_ = now;
-  bool outdated = reply.generation != 0 && reply.generation < generation_;
-  if (call == Call::kRead) {
-    revision_ = reply.revision;
-  } else if (!outdated) {
-    revision_ = std::max(revision_, reply.revision);
-  }
+  // A stale read may name a revision whose changes it does not hold.
+  if (call == Call::kRead) revision_ = reply.revision;
+  if (call == Call::kWatch) revision_ = std::max(revision_, reply.revision);
 }
 
 void ConfigFollower::OnVersionAnnounced(TimeMs now,
--- a/tests/config_follower_test.cc
+++ b/tests/config_follower_test.cc
@@ -426,3 +426,16 @@
   Announce(TimeMs(3000), 1, "7 first");
   LONGS_EQUAL(2995, follower_.VersionAgeMs(TimeMs(3000)));
 }
+
+// A watch that began at the revision of a stale read would miss what that read
+// did not hold yet.
+TEST(config_follower, staleRead_doesNotMoveTheStartOfTheWatch) {
+  int64_t poll_ms = ConfigFollowerSettings().poll_ms;
+  follower_.Tick(TimeMs(0), false, &actions_);
+  Store(TimeMs(0), "3", 100);
+  follower_.Tick(TimeMs(poll_ms), false, &actions_);
+  CHECK(LastCall()->allow_stale);
+  Store(TimeMs(poll_ms), "3", 120);
+  follower_.Tick(TimeMs(poll_ms + 50), true, &actions_);
+  CHECK(LastCall()->watch_after == uint64_t{100});
+}
