--- /dev/null
+++ b/standins/mesh_fleet.cc
@@ -0,0 +1,363 @@
+#include "standins/mesh_fleet.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace banyanloft {
+namespace {
+
+constexpr int64_t kTickMs = 20;
+constexpr int64_t kLocalDelayMs = 1;
+constexpr int64_t kConnectTimeoutMs = 1000;
+constexpr uint64_t kConfigurationRevision = 1;
+constexpr int kInstancesPerSubnet = 250;
+constexpr char kHost[] = "mesh.example";
+constexpr const char* kServices[] = {"catalogue", "pledges"};
+
+/// Routes to both services, whatever the document's text.
+class FixedReader final : public ConfigurationReader {
+ public:
+  Result<RouteConfiguration> ReadConfiguration(
+      const std::string&) const override {
+    RouteConfiguration out;
+    out.version = 1;
+    for (const char* service : kServices) {
+      std::string prefix = fmt::format("/{}/", service);
+      out.services[service] = {service, 100};
+      out.routes.push_back(HttpRouteBuilder(fmt::format("{}-read", service),
+                                            kHost, prefix + "read/")
+                               .To(service)
+                               .Idempotent()
+                               .Timeout(2500)
+                               .Aim(400)
+                               .Attempts(2)
+                               .Build());
+      out.routes.push_back(HttpRouteBuilder(fmt::format("{}-write", service),
+                                            kHost, prefix + "write/")
+                               .To(service)
+                               .Timeout(2500)
+                               .Aim(400)
+                               .Build());
+    }
+    return out;
+  }
+};
+
+}  // namespace
+
+MeshFleet::MeshFleet(const MeshFleetSettings& settings)
+    : settings_(settings),
+      random_(settings.seed),
+      reader_(std::make_unique<FixedReader>()) {
+  PlatformCall write;
+  write.type = PlatformCall::Type::kWrite;
+  write.key = settings_.node.config.key;
+  write.value = "{}";
+  store_.Do(write);
+}
+
+size_t MeshFleet::Start(const std::string& service) {
+  size_t index = instances_.size();
+  Instance instance;
+  instance.service = service;
+  instance.zone =
+      fmt::format("z{}", index % static_cast<size_t>(settings_.zones));
+  instance.link = fmt::format("10.0.{}.{}:1", index / kInstancesPerSubnet,
+                              index % kInstancesPerSubnet);
+  instance.gossip = fmt::format("10.0.{}.{}:2", index / kInstancesPerSubnet,
+                                index % kInstancesPerSubnet);
+  index_by_address_[instance.link] = index;
+  index_by_address_[instance.gossip] = index;
+  instances_.push_back(std::move(instance));
+  StartDaemon(index);
+  StartServer(index);
+  return index;
+}
+
+void MeshFleet::StartDaemon(size_t index) {
+  Instance& instance = instances_[index];
+  ++instance.daemon_start;
+  MeshNodeSettings node = settings_.node;
+  node.zone = instance.zone;
+  node.link_address = instance.link;
+  node.gossip_address = instance.gossip;
+  node.seed = random_.Bits();
+  node.forwarder.caller = instance.service;
+  node.runner.service = instance.service;
+  node.runner.address = instance.link;
+  node.runner.heartbeat_ms = settings_.heartbeat_ms;
+  instance.node = std::make_unique<MeshNode>(node, random_.Bits() | 1, Now(),
+                                             reader_.get());
+  Tick(index, instance.daemon_start);
+}
+
+/// The daemon's links break and its runs are abandoned; a request that is being
+/// sent to it is not sent.
+void MeshFleet::Kill(size_t index) {
+  Instance& instance = instances_[index];
+  instance.node.reset();
+  ++instance.daemon_start;
+  instance.running.clear();
+  for (size_t peer = 0; peer < instances_.size(); ++peer) {
+    if (peer == index || !Connected(peer, index)) continue;
+    InvokeLater(settings_.message_delay_ms, peer,
+                [this, link = instance.link](MeshNode* node,
+                                             MeshNode::Actions* actions) {
+                  node->OnPeerLost(Now(), link, actions);
+                });
+  }
+}
+
+void MeshFleet::Restart(size_t index) {
+  if (!Alive(index)) StartDaemon(index);
+}
+
+void MeshFleet::StartServer(size_t index) {
+  Instance& instance = instances_[index];
+  ++instance.server_start;
+  instance.born_ms = Now().Value();
+  instance.reports = 0;
+  instance.server_up = true;
+  SendReports(index, instance.server_start);
+}
+
+std::string MeshFleet::InstanceId(size_t index) const {
+  return fmt::format("i-{}-{}", index, instances_[index].server_start);
+}
+
+void MeshFleet::SendReports(size_t index, int64_t server_start) {
+  Instance& instance = instances_[index];
+  if (instance.server_start != server_start || !instance.server_up) return;
+  InstanceReport report;
+  report.id = InstanceId(index);
+  report.start_time_ms = instance.born_ms;
+  report.sequence = ++instance.reports;
+  report.service = instance.service;
+  report.address = instance.link;
+  report.slots = settings_.slots;
+  InvokeLater(kLocalDelayMs, index,
+              [this, report](MeshNode* node, MeshNode::Actions* actions) {
+                node->OnReport(Now(), report, actions);
+              });
+  events_.Schedule(settings_.heartbeat_ms, [this, index, server_start] {
+    SendReports(index, server_start);
+  });
+}
+
+void MeshFleet::Tick(size_t index, uint64_t daemon_start) {
+  if (instances_[index].daemon_start != daemon_start) return;
+  Invoke(index, daemon_start,
+         [this](MeshNode* node, MeshNode::Actions* actions) {
+           node->Tick(Now(), actions);
+         });
+  events_.Schedule(kTickMs,
+                   [this, index, daemon_start] { Tick(index, daemon_start); });
+}
+
+void MeshFleet::Invoke(
+    size_t index, uint64_t daemon_start,
+    const std::function<void(MeshNode*, MeshNode::Actions*)>& call) {
+  Instance& instance = instances_[index];
+  if (instance.daemon_start != daemon_start || !instance.node) return;
+  MeshNode::Actions actions;
+  call(instance.node.get(), &actions);
+  for (MeshNodeAction& action : actions) Execute(index, std::move(action));
+}
+
+/// Addressed to the daemon that runs now: one that replaces it meanwhile does
+/// not get the message.
+void MeshFleet::InvokeLater(
+    int64_t delay_ms, size_t index,
+    std::function<void(MeshNode*, MeshNode::Actions*)> call) {
+  uint64_t daemon_start = instances_[index].daemon_start;
+  events_.Schedule(delay_ms,
+                   [this, index, daemon_start, call = std::move(call)] {
+                     Invoke(index, daemon_start, call);
+                   });
+}
+
+uint64_t MeshFleet::Request(size_t index, const std::string& target,
+                            int64_t timeout_ms) {
+  uint64_t number = next_request_++;
+  MeshRequest request;
+  request.request_id = fmt::format("r-{}", number);
+  request.wait_ms = timeout_ms;
+  request.method = "GET";
+  request.host = kHost;
+  request.target = target;
+  Invoke(index, instances_[index].daemon_start,
+         [&](MeshNode* node, MeshNode::Actions* actions) {
+           node->OnRequest(Now(), number, std::move(request), actions);
+         });
+  return number;
+}
+
+void MeshFleet::Partition(std::set<std::string> zones, bool from_store) {
+  partitioned_zones_ = std::move(zones);
+  partitioned_from_store_ = from_store;
+}
+
+bool MeshFleet::Connected(size_t a, size_t b) const {
+  return partitioned_zones_.count(instances_[a].zone) ==
+         partitioned_zones_.count(instances_[b].zone);
+}
+
+std::optional<size_t> MeshFleet::IndexOf(const std::string& address) const {
+  auto it = index_by_address_.find(address);
+  if (it == index_by_address_.end()) return std::nullopt;
+  return it->second;
+}
+
+void MeshFleet::Execute(size_t index, MeshNodeAction action) {
+  if (auto* answer = std::get_if<AnswerClient>(&action)) {
+    answers_[answer->request] = Answered{Now(), std::move(answer->answer)};
+  } else if (auto* send = std::get_if<SendPeer>(&action)) {
+    SendTo(index, *send);
+  } else if (auto* datagram = std::get_if<SendDatagram>(&action)) {
+    SendGossip(index, *datagram);
+  } else if (auto* call = std::get_if<PlatformCall>(&action)) {
+    CallStore(index, *call);
+  } else if (auto* start = std::get_if<StartRun>(&action)) {
+    StartRequest(index, *start);
+  } else if (auto* cancel = std::get_if<CancelRunOnBackend>(&action)) {
+    if (!cancel->only_if_unsent)
+      EndRun(index, cancel->run, RunResult::Type::kCancelled, kLocalDelayMs);
+  } else if (std::holds_alternative<ProbeInstance>(action)) {
+    Probe(index);
+  } else if (auto* record = std::get_if<LogRecord>(&action)) {
+    if (on_log) on_log(Now(), index, *record);
+  }
+}
+
+void MeshFleet::SendTo(size_t from, const SendPeer& send) {
+  std::optional<size_t> to = IndexOf(send.link);
+  bool reached = to && Alive(*to) && Connected(from, *to);
+  if (!reached) {
+    InvokeLater(kLocalDelayMs, from,
+                [this, message = send.message](MeshNode* node,
+                                               MeshNode::Actions* actions) {
+                  node->OnPeerNotSent(Now(), message, actions);
+                });
+    return;
+  }
+  InvokeLater(settings_.message_delay_ms, *to,
+              [this, link = instances_[from].link, message = send.message](
+                  MeshNode* node, MeshNode::Actions* actions) {
+                node->OnPeerMessage(Now(), link, message, actions);
+              });
+}
+
+void MeshFleet::SendGossip(size_t from, const SendDatagram& send) {
+  ++datagrams_;
+  std::optional<size_t> to = IndexOf(send.to);
+  bool lost = random_.ChancePermille(settings_.loss_permille);
+  if (lost || !to || !Alive(*to) || !Connected(from, *to)) return;
+  InvokeLater(settings_.message_delay_ms, *to,
+              [this, datagram = send.datagram](MeshNode* node,
+                                               MeshNode::Actions* actions) {
+                node->OnDatagram(Now(), datagram, actions);
+              });
+}
+
+/// A watch ends after its wait without a change: nothing changes the
+/// configuration.
+void MeshFleet::CallStore(size_t index, const PlatformCall& call) {
+  ++store_calls_;
+  bool cut = partitioned_from_store_ &&
+             partitioned_zones_.count(instances_[index].zone) > 0;
+  if (cut) return;
+  int64_t delay_ms = settings_.store_delay_ms;
+  PlatformReply reply;
+  if (store_unavailable_) {
+    reply.id = call.id;
+    reply.error = Error{ErrorKind::kPlatformUnavailable, "unavailable"};
+  } else if (call.watch_after) {
+    reply.id = call.id;
+    delay_ms = call.wait_ms;
+  } else {
+    reply = store_.Do(call);
+  }
+  bool list = call.type == PlatformCall::Type::kList;
+  if (list && !reply.error) reply.revision = kConfigurationRevision;
+  InvokeLater(delay_ms, index,
+              [this, reply](MeshNode* node, MeshNode::Actions* actions) {
+                node->OnStore(Now(), reply, actions);
+              });
+}
+
+void MeshFleet::StartRequest(size_t index, const StartRun& start) {
+  Instance& instance = instances_[index];
+  uint64_t run = start.run;
+  instance.running.insert(run);
+  if (!instance.server_up) {
+    int64_t delay_ms =
+        settings_.silent_crashes ? kConnectTimeoutMs : kLocalDelayMs;
+    return EndRun(index, run, RunResult::Type::kNotSent, delay_ms);
+  }
+  if (start.instance != InstanceId(index))
+    return EndRun(index, run, RunResult::Type::kMisplaced, kLocalDelayMs);
+  bool crashes = crashes_server && crashes_server(start.request.target);
+  runs_.push_back(Run{Now(), index, start.request.target, crashes});
+  // Ends the run if the backend server falls silent while it runs.
+  EndRun(index, run, RunResult::Type::kTimeout, start.remaining_ms);
+  if (crashes) {
+    events_.Schedule(settings_.crash_after_ms,
+                     [this, index, server_start = instance.server_start] {
+                       if (instances_[index].server_start == server_start)
+                         Crash(index);
+                     });
+    return;
+  }
+  int64_t run_ms = settings_.run_ms / 2 +
+                   static_cast<int64_t>(
+                       random_.Below(static_cast<uint64_t>(settings_.run_ms)));
+  events_.Schedule(
+      run_ms, [this, index, run, server_start = instance.server_start] {
+        const Instance& now = instances_[index];
+        bool same = now.server_up && now.server_start == server_start;
+        if (same) EndRun(index, run, RunResult::Type::kAnswered, 0);
+      });
+}
+
+void MeshFleet::Crash(size_t index) {
+  Instance& instance = instances_[index];
+  if (!instance.server_up) return;
+  instance.server_up = false;
+  if (!settings_.silent_crashes) {
+    for (uint64_t run : instance.running)
+      EndRun(index, run, RunResult::Type::kBroken, kLocalDelayMs);
+  }
+  events_.Schedule(settings_.down_ms, [this, index] { StartServer(index); });
+}
+
+/// Delivers the result of a run unless it has ended by then.
+void MeshFleet::EndRun(size_t index, uint64_t run, RunResult::Type type,
+                       int64_t delay_ms) {
+  InvokeLater(
+      delay_ms, index,
+      [this, index, run, type](MeshNode* node, MeshNode::Actions* actions) {
+        if (instances_[index].running.erase(run) == 0) return;
+        RunResult result;
+        result.run = run;
+        result.type = type;
+        result.response.status = type == RunResult::Type::kAnswered ? 200 : 0;
+        if (type == RunResult::Type::kAnswered) result.notice = BackendNotice();
+        node->OnResult(Now(), std::move(result), actions);
+      });
+}
+
+void MeshFleet::Probe(size_t index) {
+  bool up = instances_[index].server_up;
+  ProbeResult result;
+  result.up = up;
+  if (up) result.instance = InstanceId(index);
+  int64_t delay_ms =
+      up || !settings_.silent_crashes ? kLocalDelayMs : kConnectTimeoutMs;
+  InvokeLater(delay_ms, index,
+              [this, result](MeshNode* node, MeshNode::Actions* actions) {
+                node->OnProbed(Now(), result, actions);
+              });
+}
+
+}  // namespace banyanloft
--- a/standins/node_fleet.cc
+++ b/standins/node_fleet.cc
@@ -51,7 +51,7 @@
   node.gossip_address = instance.gossip;
   node.secret = kFleetSecret;
   node.seed = random_.Bits();
-  instance.node = std::make_unique<Node>(node, random_.Bits() | 1, now_);
+  instance.node = std::make_unique<Node>(node, random_.Bits() | 1, Now());
   Tick(index, instance.generation);
   Announce(index);
 }
@@ -66,13 +66,14 @@
       continue;
     uint64_t generation = nodes_[peer].generation;
     std::string link = instance.link;
-    Schedule(settings_.message_delay_ms, [this, peer, generation, link] {
-      RunOnNode(peer, generation, [this, peer, link] {
-        InvokeNode(peer, [&](Node::Actions* actions) {
-          nodes_[peer].node->OnPeerLost(now_, link, actions);
-        });
-      });
-    });
+    events_.Schedule(settings_.message_delay_ms,
+                     [this, peer, generation, link] {
+                       RunOnNode(peer, generation, [this, peer, link] {
+                         InvokeNode(peer, [&](Node::Actions* actions) {
+                           nodes_[peer].node->OnPeerLost(Now(), link, actions);
+                         });
+                       });
+                     });
   }
 }
 
@@ -95,7 +96,7 @@
   instance.running.clear();
   for (const auto& [work, unused] : running)
     ReportResult(index, work, BackendResult::Type::kBroken);
-  Schedule(down_ms, [this, index] {
+  events_.Schedule(down_ms, [this, index] {
     nodes_[index].backend_up = true;
     ++nodes_[index].boot;
     Announce(index);
@@ -104,7 +105,7 @@
 
 void NodeFleet::Drain(size_t index) {
   InvokeNode(index, [&](Node::Actions* actions) {
-    nodes_[index].node->BeginDrain(now_, actions);
+    nodes_[index].node->BeginDrain(Now(), actions);
   });
 }
 
@@ -121,17 +122,6 @@
                  watches_.end());
 }
 
-void NodeFleet::Run(int64_t ms) {
-  TimeMs end = now_ + ms;
-  while (!events_.empty() && events_.top().at <= end) {
-    Event event = events_.top();
-    events_.pop();
-    now_ = event.at;
-    event.callback();
-  }
-  now_ = end;
-}
-
 bool NodeFleet::RunUntil(const std::function<bool()>& done, int64_t limit_ms) {
   for (int64_t passed = 0; passed < limit_ms; passed += 10) {
     if (done()) return true;
@@ -143,7 +133,7 @@
 uint64_t NodeFleet::Call(size_t index, CallRequest request) {
   uint64_t number = next_call_++;
   InvokeNode(index, [&](Node::Actions* actions) {
-    nodes_[index].node->OnCall(now_, number, std::move(request), actions);
+    nodes_[index].node->OnCall(Now(), number, std::move(request), actions);
   });
   return number;
 }
@@ -151,7 +141,7 @@
 std::string NodeFleet::RequestKey(size_t index, const std::string& route) {
   uint64_t number = next_call_++;
   InvokeNode(index, [&](Node::Actions* actions) {
-    nodes_[index].node->OnCallerKeyRequest(now_, number, route, actions);
+    nodes_[index].node->OnCallerKeyRequest(Now(), number, route, actions);
   });
   RunUntil([&] { return keys_.count(number) != 0; }, 1000);
   return keys_[number];
@@ -178,11 +168,6 @@
   return lowest;
 }
 
-void NodeFleet::Schedule(int64_t delay_ms, std::function<void()> callback) {
-  events_.push(
-      Event{now_ + delay_ms, next_event_order_++, std::move(callback)});
-}
-
 void NodeFleet::RunOnNode(size_t index, uint64_t generation,
                           std::function<void()> callback) {
   Instance& instance = nodes_[index];
@@ -202,11 +187,11 @@
   if (nodes_[index].generation != generation || nodes_[index].exited) return;
   if (!nodes_[index].frozen) {
     InvokeNode(index, [&](Node::Actions* actions) {
-      nodes_[index].node->Tick(now_, actions);
+      nodes_[index].node->Tick(Now(), actions);
     });
   }
-  Schedule(settings_.tick_ms,
-           [this, index, generation] { Tick(index, generation); });
+  events_.Schedule(settings_.tick_ms,
+                   [this, index, generation] { Tick(index, generation); });
 }
 
 void NodeFleet::Announce(size_t index) {
@@ -219,10 +204,10 @@
   announcement.boot_id = std::to_string(instance.boot);
   RunOnNode(index, generation, [this, index, announcement] {
     InvokeNode(index, [&](Node::Actions* actions) {
-      nodes_[index].node->OnAnnounce(now_, announcement, actions);
+      nodes_[index].node->OnAnnounce(Now(), announcement, actions);
     });
   });
-  Schedule(kAnnouncePeriodMs, [this, index, generation] {
+  events_.Schedule(kAnnouncePeriodMs, [this, index, generation] {
     if (nodes_[index].generation == generation) Announce(index);
   });
 }
@@ -249,7 +234,7 @@
       on_call_completed(reply->call, reply->answer);
     } else {
       completed_calls_[reply->call] =
-          CompletedCall{std::move(reply->answer), now_};
+          CompletedCall{std::move(reply->answer), Now()};
     }
   } else if (auto* key = std::get_if<ReplyKey>(&action)) {
     keys_[key->call] = key->key;
@@ -264,14 +249,15 @@
                 !Connected(index, to->second);
     if (lost) return;
     size_t target = to->second;
-    Schedule(settings_.message_delay_ms,
-             [this, target, d = std::move(datagram->datagram)] {
-               RunOnNode(target, nodes_[target].generation, [this, target, d] {
-                 InvokeNode(target, [&](Node::Actions* actions) {
-                   nodes_[target].node->OnDatagram(now_, d, actions);
-                 });
-               });
-             });
+    events_.Schedule(
+        settings_.message_delay_ms,
+        [this, target, d = std::move(datagram->datagram)] {
+          RunOnNode(target, nodes_[target].generation, [this, target, d] {
+            InvokeNode(target, [&](Node::Actions* actions) {
+              nodes_[target].node->OnDatagram(Now(), d, actions);
+            });
+          });
+        });
   } else if (auto* call = std::get_if<PlatformCall>(&action)) {
     CallPlatform(index, *call);
   } else if (auto* start = std::get_if<StartBackend>(&action)) {
@@ -282,11 +268,11 @@
     }
   } else if (std::holds_alternative<ProbeBackend>(action)) {
     uint64_t generation = nodes_[index].generation;
-    Schedule(1, [this, index, generation] {
+    events_.Schedule(1, [this, index, generation] {
       RunOnNode(index, generation, [this, index] {
         bool up = nodes_[index].backend_up;
         InvokeNode(index, [&](Node::Actions* actions) {
-          nodes_[index].node->OnBackendProbed(now_, up, actions);
+          nodes_[index].node->OnBackendProbed(Now(), up, actions);
         });
       });
     });
@@ -306,26 +292,28 @@
   bool reachable = to >= 0 && nodes_[static_cast<size_t>(to)].node &&
                    !nodes_[static_cast<size_t>(to)].exited;
   if (!reachable) {
-    Schedule(kConnectFailureMs,
-             [this, from, generation, link, m = std::move(message)] {
-               RunOnNode(from, generation, [this, from, link, m] {
-                 InvokeNode(from, [&](Node::Actions* actions) {
-                   nodes_[from].node->OnPeerNotSent(now_, link, m, actions);
-                 });
-               });
-             });
+    events_.Schedule(kConnectFailureMs, [this, from, generation, link,
+                                         m = std::move(message)] {
+      RunOnNode(from, generation, [this, from, link, m] {
+        InvokeNode(from, [&](Node::Actions* actions) {
+          nodes_[from].node->OnPeerNotSent(Now(), link, m, actions);
+        });
+      });
+    });
     return;
   }
   size_t target = static_cast<size_t>(to);
   uint64_t target_generation = nodes_[target].generation;
-  Schedule(settings_.message_delay_ms, [this, from, target, target_generation,
-                                        m = std::move(message)] {
-    RunOnNode(target, target_generation, [this, from, target, m] {
-      InvokeNode(target, [&](Node::Actions* actions) {
-        nodes_[target].node->OnPeerMessage(now_, nodes_[from].link, m, actions);
+  events_.Schedule(
+      settings_.message_delay_ms,
+      [this, from, target, target_generation, m = std::move(message)] {
+        RunOnNode(target, target_generation, [this, from, target, m] {
+          InvokeNode(target, [&](Node::Actions* actions) {
+            nodes_[target].node->OnPeerMessage(Now(), nodes_[from].link, m,
+                                               actions);
+          });
+        });
       });
-    });
-  });
 }
 
 void NodeFleet::CallPlatform(size_t index, const PlatformCall& call) {
@@ -345,7 +333,7 @@
                call.wait_ms > 0;
   if (!waits) return ReplyPlatform(index, generation, std::move(reply));
   watches_.push_back(Watch{index, generation, call});
-  Schedule(call.wait_ms, [this, index, generation, call, reply] {
+  events_.Schedule(call.wait_ms, [this, index, generation, call, reply] {
     auto it =
         std::find_if(watches_.begin(), watches_.end(), [&](const Watch& watch) {
           return watch.index == index && watch.generation == generation &&
@@ -359,14 +347,14 @@
 
 void NodeFleet::ReplyPlatform(size_t index, uint64_t generation,
                               PlatformReply reply) {
-  Schedule(settings_.platform_delay_ms,
-           [this, index, generation, reply = std::move(reply)] {
-             RunOnNode(index, generation, [this, index, reply] {
-               InvokeNode(index, [&](Node::Actions* actions) {
-                 nodes_[index].node->OnPlatform(now_, reply, actions);
-               });
-             });
-           });
+  events_.Schedule(settings_.platform_delay_ms,
+                   [this, index, generation, reply = std::move(reply)] {
+                     RunOnNode(index, generation, [this, index, reply] {
+                       InvokeNode(index, [&](Node::Actions* actions) {
+                         nodes_[index].node->OnPlatform(Now(), reply, actions);
+                       });
+                     });
+                   });
 }
 
 void NodeFleet::CompleteWatches() {
@@ -399,7 +387,7 @@
   if (should_crash && should_crash(start.body)) return CrashBackend(index, 200);
   uint64_t generation = instance.generation;
   uint64_t work = start.work;
-  Schedule(DrawRunTimeMs(), [this, index, generation, work] {
+  events_.Schedule(DrawRunTimeMs(), [this, index, generation, work] {
     Instance& at = nodes_[index];
     if (at.generation != generation || at.running.erase(work) == 0) return;
     ReportResult(index, work, BackendResult::Type::kAnswered);
@@ -422,10 +410,10 @@
   result.type = type;
   result.http_status = 200;
   result.body = "done";
-  Schedule(0, [this, index, generation, result] {
+  events_.Schedule(0, [this, index, generation, result] {
     RunOnNode(index, generation, [this, index, result] {
       InvokeNode(index, [&](Node::Actions* actions) {
-        nodes_[index].node->OnBackend(now_, result, actions);
+        nodes_[index].node->OnBackend(Now(), result, actions);
       });
     });
   });
--- a/standins/node_fleet.h
+++ b/standins/node_fleet.h
@@ -4,13 +4,13 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "banyanloft/daemon/node.h"
 #include "banyanloft/store/memory_platform.h"
+#include "standins/event_queue.h"
 
 namespace banyanloft {
 
@@ -69,7 +69,7 @@
   void SetLoss(int permille) { settings_.loss_permille = permille; }
 
   /// Advances the simulated time by `ms`.
-  void Run(int64_t ms);
+  void Run(int64_t ms) { events_.Run(ms); }
   /// Advances the simulated time until `done` returns true, by at most
   /// `limit_ms`; returns the last result of `done`.
   bool RunUntil(const std::function<bool()>& done, int64_t limit_ms);
@@ -83,7 +83,7 @@
   /// Applies a configuration to the platform; returns its version.
   uint64_t ApplyConfiguration(const Configuration& configuration);
 
-  TimeMs Now() const { return now_; }
+  TimeMs Now() const { return events_.Now(); }
   size_t Size() const { return nodes_.size(); }
   bool Alive(size_t index) const {
     return nodes_[index].node != nullptr && !nodes_[index].frozen;
@@ -136,21 +136,12 @@
     uint64_t last_version = 0;
     std::vector<std::function<void()>> deferred;
   };
-  struct Event {
-    TimeMs at;
-    uint64_t order;
-    std::function<void()> callback;
-    bool operator>(const Event& other) const {
-      return at != other.at ? at > other.at : order > other.order;
-    }
-  };
   struct Watch {
     size_t index;
     uint64_t generation;
     PlatformCall call;
   };
 
-  void Schedule(int64_t delay_ms, std::function<void()> callback);
   /// Runs the callback unless the daemon process was replaced; defers it while
   /// the daemon is frozen.
   void RunOnNode(size_t index, uint64_t generation,
@@ -174,9 +165,7 @@
 
   NodeFleetSettings settings_;
   Random random_;
-  TimeMs now_{1000};
-  uint64_t next_event_order_ = 0;
-  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  EventQueue events_{TimeMs(1000)};
   std::vector<Instance> nodes_;
   std::map<std::string, size_t> index_by_address_;
   std::set<std::string> partitioned_zones_;
