Backend runner: log and count suspected requests by fingerprint

For a request that crashes servers the on-call engineer could not see which daemon knew what: instance_crashed gave a number of requests, and nothing told which suspicions a daemon held when it started a run.

instance_crashed, run_failed and run_refused now name fingerprints; suspect_run_started tells the crashes known where a suspect is run; crash_suspicions_learned tells what came from other daemons. Two counters and a gauge.

--- a/banyanloft/admission/crash_guard.cc
+++ b/banyanloft/admission/crash_guard.cc
@@ -3,17 +3,22 @@
 namespace banyanloft {
 
 CrashGuard::Verdict CrashGuard::Check(TimeMs now, uint64_t fingerprint) const {
+  int crashes = Crashes(now, fingerprint);
+  if (crashes == 0) return Verdict::kClear;
+  return crashes >= settings_.crashes_to_refuse ? Verdict::kRefuse
+                                                : Verdict::kExclusive;
+}
+
+int CrashGuard::Crashes(TimeMs now, uint64_t fingerprint) const {
   auto it = requests_.find(fingerprint);
-  if (it == requests_.end()) return Verdict::kClear;
+  if (it == requests_.end()) return 0;
   int active = 0;
   for (const auto& [crash, suspicion] : it->second) {
     bool counts = !suspicion.cleared &&
                   now - suspicion.raised_at < settings_.suspicion_ttl_ms;
     active += counts ? 1 : 0;
   }
-  if (active == 0) return Verdict::kClear;
-  return active >= settings_.crashes_to_refuse ? Verdict::kRefuse
-                                               : Verdict::kExclusive;
+  return active;
 }
 
 std::vector<CrashSuspicion> CrashGuard::OnCrash(
--- a/banyanloft/admission/crash_guard.h
+++ b/banyanloft/admission/crash_guard.h
@@ -42,6 +42,8 @@
 
   /// Decides how a request is handled.
   Verdict Check(TimeMs now, uint64_t fingerprint) const;
+  /// Number of crashes that the request is suspected of.
+  int Crashes(TimeMs now, uint64_t fingerprint) const;
   /// Called when a backend server crashed with these requests in flight.
   /// Returns the new suspicions, to be gossiped.
   std::vector<CrashSuspicion> OnCrash(
--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -47,6 +47,9 @@
     {"daemon_started",
      "the daemon has started; listening addresses, member id and zone"},
     {"drain_began", "graceful shutdown started; requests in progress"},
+    {"crash_suspicions_learned",
+     "other daemons suspect requests of crashing backend servers; number, "
+     "requests tracked, fingerprints refused from now on"},
     {"instance_changed",
      "state, slots or service of the backend server changed"},
     {"instance_crashed",
@@ -77,6 +80,9 @@
     {"run_failed", "a run ended without a response; result"},
     {"run_refused",
      "the target rejected the request without running it; load and estimates"},
+    {"suspect_run_started",
+     "a request suspected of crashing backend servers is run; crashes known "
+     "here"},
     {"settings_rejected", "the settings file is invalid; all errors"},
     {"settings_kept",
      "changed settings were ignored during a graceful shutdown"},
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -16,6 +16,10 @@
   return FastHash(request.body, seed);
 }
 
+std::string HexOf(const std::vector<uint64_t>& fingerprints) {
+  return fmt::format("{:016x}", fmt::join(fingerprints, ","));
+}
+
 /// Error kind of a result other than kAnswered.
 ErrorKind ErrorOfResult(RunResult::Type type) {
   switch (type) {
@@ -134,6 +138,7 @@
     work.server_start = registry_.Starts();
     counters_.Add("runs_started_total");
     ++runs_started_;
+    LogSuspectStart(now, work, actions);
     histograms_.Add("queue_ms", work.request.route,
                     UrgencyOf(work.request.priority), now - work.arrived);
     StartRun start;
@@ -155,6 +160,7 @@
       "run_refused",
       {{"request", work.request.request_id},
        {"error", std::string(NameOf(error))},
+       {"fingerprint", HexOf({work.fingerprint})},
        {"instance", registry_.Last().id},
        {"instance_state", NameOf(registry_.State())},
        {"urgency", std::to_string(UrgencyOf(work.request.priority))},
@@ -209,6 +215,7 @@
         LogRecord{LogLevel::kWarning,
                   "run_failed",
                   {{"request", work.request.request_id},
+                   {"fingerprint", HexOf({work.fingerprint})},
                    {"result", NameOf(result.type)},
                    {"status", std::to_string(result.response.status)},
                    {"instance", registry_.Last().id},
@@ -459,13 +466,50 @@
       LogRecord{LogLevel::kWarning,
                 "instance_crashed",
                 {{"instance", registry_.Last().id},
-                 {"requests_broken", std::to_string(fingerprints.size())}}});
+                 {"requests_broken", std::to_string(fingerprints.size())},
+                 {"fingerprints", HexOf(fingerprints)}}});
   std::vector<CrashSuspicion> suspicions =
       crash_guard_.OnCrash(now, random_.Bits(), fingerprints);
   if (!suspicions.empty())
     actions->push_back(SpreadCrashSuspicions{std::move(suspicions)});
 }
 
+void BackendRunner::OnCrashSuspicions(
+    TimeMs now, const std::vector<CrashSuspicion>& suspicions,
+    Actions* actions) {
+  std::vector<CrashSuspicion> added = crash_guard_.Merge(now, suspicions);
+  if (added.empty()) return;
+  std::vector<uint64_t> refused;
+  for (const CrashSuspicion& suspicion : added) {
+    bool refuse = crash_guard_.Check(now, suspicion.fingerprint) ==
+                  CrashGuard::Verdict::kRefuse;
+    if (refuse) refused.push_back(suspicion.fingerprint);
+  }
+  counters_.Add("crash_suspicions_learned_total", "", added.size());
+  actions->push_back(
+      LogRecord{LogLevel::kInfo,
+                "crash_suspicions_learned",
+                {{"count", std::to_string(added.size())},
+                 {"tracked", std::to_string(crash_guard_.Size())},
+                 {"refused", HexOf(refused)}}});
+  actions->push_back(SpreadCrashSuspicions{std::move(added)});
+}
+
+/// A request that crashed servers is run: tells what was known of it.
+void BackendRunner::LogSuspectStart(TimeMs now, const Work& work,
+                                    Actions* actions) {
+  int crashes = crash_guard_.Crashes(now, work.fingerprint);
+  if (crashes == 0) return;
+  counters_.Add("suspect_runs_started_total");
+  actions->push_back(
+      LogRecord{LogLevel::kInfo,
+                "suspect_run_started",
+                {{"request", work.request.request_id},
+                 {"fingerprint", HexOf({work.fingerprint})},
+                 {"crashes", std::to_string(crashes)},
+                 {"waited_ms", std::to_string(now - work.arrived)}}});
+}
+
 void BackendRunner::OnProcessSuspended(TimeMs now, Actions* actions) {
   AdmissionController::Decisions decisions;
   admission_.RefuseAll(ErrorKind::kOverloaded, &decisions);
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -146,11 +146,10 @@
   void OnResult(TimeMs now, RunResult result, Actions* actions);
   /// A health check ended.
   void OnProbed(TimeMs now, const ProbeResult& result, Actions* actions);
-  /// Merges suspicions from other daemons; returns those that were new.
-  std::vector<CrashSuspicion> OnCrashSuspicions(
-      TimeMs now, const std::vector<CrashSuspicion>& suspicions) {
-    return crash_guard_.Merge(now, suspicions);
-  }
+  /// Merges suspicions from other daemons; those that were new are spread.
+  void OnCrashSuspicions(TimeMs now,
+                         const std::vector<CrashSuspicion>& suspicions,
+                         Actions* actions);
   /// This process was suspended: refuses all queued requests, whose timing is
   /// out of date.
   void OnProcessSuspended(TimeMs now, Actions* actions);
@@ -162,6 +161,8 @@
   /// Service that the backend server runs.
   const std::string& Service() const;
   size_t InFlight() const { return works_.size(); }
+  /// Number of requests that are tracked as suspected of crashing servers.
+  size_t SuspectedRequests() const { return crash_guard_.Size(); }
   /// Sets the expected period of the backend server's reports, in ms.
   void SetHeartbeat(int64_t heartbeat_ms) {
     settings_.heartbeat_ms = heartbeat_ms;
@@ -207,6 +208,7 @@
   void OnCrash(TimeMs now, Actions* actions);
   void Probe(TimeMs now, Actions* actions);
   void LogInstance(const char* event, Actions* actions);
+  void LogSuspectStart(TimeMs now, const Work& work, Actions* actions);
 
   BackendRunnerSettings settings_;
   Random random_;
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -219,9 +219,9 @@
   std::vector<DatagramOut> out;
   membership_.OnDatagram(now, datagram, &out);
   SendDatagrams(now, std::move(out), actions);
-  std::vector<CrashSuspicion> new_suspicions =
-      runner_.OnCrashSuspicions(now, datagram.crash_suspicions);
-  if (!new_suspicions.empty()) membership_.QueueCrashSuspicions(new_suspicions);
+  BackendRunner::Actions runs;
+  runner_.OnCrashSuspicions(now, datagram.crash_suspicions, &runs);
+  DispatchRunner(now, std::move(runs), actions);
   ConfigFollower::Actions changes;
   bool same_zone = datagram.zone == settings_.zone;
   VersionAnnouncement announcement{datagram.from_link,
--- a/banyanloft/operator/request_tracer.cc
+++ b/banyanloft/operator/request_tracer.cc
@@ -23,7 +23,7 @@
   std::string_view error;
   std::string_view text;
 };
-constexpr std::array<Cause, 12> kCauses = {{
+constexpr std::array<Cause, 13> kCauses = {{
     {"overloaded",
      "every target tried had more work queued than it could complete within "
      "the latency target; see running, waiting and expected_wait_ms"},
@@ -42,6 +42,9 @@
     {"backend_unavailable", "the backend server accepted no connection"},
     {"backend_shed",
      "the backend server itself rejected the request without running it"},
+    {"crash_suspect",
+     "the same request was running at several crashes of backend servers; "
+     "fingerprint names it in instance_crashed and crash_suspicions_learned"},
     {"draining", "the daemon or the backend server was shutting down"},
     {"timeout",
      "no response arrived within the timeout of the route or the client"},
@@ -54,11 +57,11 @@
 /// Whether an event changes the state from which a process makes decisions.
 bool IsStateChange(const std::string& event) {
   static const std::set<std::string> kEvents = {
-      "version_adopted",  "version_rejected", "store_lost",
-      "store_regained",   "link_lost",        "instance_changed",
-      "instance_started", "instance_lost",    "instance_crashed",
-      "own_pause",        "drain_began",      "daemon_started",
-      "daemon_stopped",   "settings_reloaded"};
+      "version_adopted",          "version_rejected", "store_lost",
+      "store_regained",           "link_lost",        "instance_changed",
+      "instance_started",         "instance_lost",    "instance_crashed",
+      "crash_suspicions_learned", "own_pause",        "drain_began",
+      "daemon_started",           "daemon_stopped",   "settings_reloaded"};
   return kEvents.count(event) > 0;
 }
 
