--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -10,10 +10,11 @@
 namespace banyanloft {
 namespace {
 
-/// Identifies equal requests: those with the same caller, path and body.
+/// Identifies equal requests: those with the same path and body. The caller
+/// does not count, because a request may come again at an instance of any
+/// service.
 uint64_t FingerprintOf(const ForwardRequest& request) {
-  uint64_t seed = FastHash(request.caller, FastHash(request.target));
-  return FastHash(request.body, seed);
+  return FastHash(request.body, FastHash(request.target));
 }
 
 std::string HexOf(const std::vector<uint64_t>& fingerprints) {
