Crash containment: crashes of servers that fall silent are counted

Only runs whose connection broke were taken for part of a crash, and the window of 6 s began with the first broken run, so that a harmless one could end it early. A restart that a health check noticed first counted no crash at all.

LostRuns keeps, each with its own time, runs that broke and runs that got no response since the server last responded; a restart, however noticed, also blames the runs of the earlier start that are still open. A server that leaves is not taken for a crash when it closes.

--- a/banyanloft/calls/target_runner.cc
+++ b/banyanloft/calls/target_runner.cc
@@ -23,7 +23,8 @@
                  MakeQueue(settings.admission.policy, {RankShare{}},
                            settings.admission.slots)),
       ledger_(settings.ledger, self, std::move(secret), random_.Bits(), now),
-      crash_guard_(settings.crash_guard) {}
+      crash_guard_(settings.crash_guard),
+      lost_runs_(settings.lost_runs) {}
 
 void TargetRunner::SetSnapshot(TimeMs now, SnapshotPtr snapshot,
                                Actions* actions) {
@@ -180,8 +181,8 @@
     if (!cleared.empty())
       actions->push_back(GossipCrashSuspicions{std::move(cleared)});
   }
-  if (result.type == BackendResult::Type::kBroken)
-    RecordBrokenRun(now, fingerprint, actions);
+  if (answered) lost_runs_.OnResponse(it->second.started);
+  RecordLostRun(now, result.type, fingerprint, actions);
 
   // Answer before the released slot is filled.
   EndWork(result.work, OutcomeOf(result), result.retried_downstream, actions);
@@ -274,13 +275,14 @@
   return answer;
 }
 
-/// A broken run may indicate a crash: probe the backend server before raising a
-/// suspicion.
-void TargetRunner::RecordBrokenRun(TimeMs now, uint64_t fingerprint,
-                                   Actions* actions) {
-  if (now - broken_since_ >= settings_.crash_window_ms) broken_runs_.clear();
-  if (broken_runs_.empty()) broken_since_ = now;
-  broken_runs_.insert(fingerprint);
+/// A broken run may indicate a crash: probes the backend server before raising
+/// a suspicion. A cancelled one indicates a crash only if the server restarts.
+void TargetRunner::RecordLostRun(TimeMs now, BackendResult::Type type,
+                                 uint64_t fingerprint, Actions* actions) {
+  if (type == BackendResult::Type::kCancelled)
+    return lost_runs_.OnUnanswered(now, fingerprint);
+  if (type != BackendResult::Type::kBroken) return;
+  lost_runs_.OnBroken(now, fingerprint);
   if (probe_in_flight_) return;
   probe_in_flight_ = true;
   actions->push_back(ProbeBackend{});
@@ -288,19 +290,18 @@
 
 void TargetRunner::OnBackendProbed(TimeMs now, bool up, Actions* actions) {
   probe_in_flight_ = false;
-  if (!up) OnCrash(now, actions);
+  if (!up) RecordCrash(now, lost_runs_.TakeBroken(now), actions);
 }
 
 void TargetRunner::OnBackendRestarted(TimeMs now, Actions* actions) {
-  OnCrash(now, actions);
+  RecordCrash(now, lost_runs_.TakeAll(now), actions);
 }
 
-void TargetRunner::OnCrash(TimeMs now, Actions* actions) {
-  if (broken_runs_.empty() || now - broken_since_ >= settings_.crash_window_ms)
-    return;
+void TargetRunner::RecordCrash(TimeMs now,
+                               const std::vector<uint64_t>& fingerprints,
+                               Actions* actions) {
+  if (fingerprints.empty()) return;
   counters_.Add("backend_crashes_total");
-  std::vector<uint64_t> fingerprints(broken_runs_.begin(), broken_runs_.end());
-  broken_runs_.clear();
   std::vector<CrashSuspicion> suspicions =
       crash_guard_.OnCrash(now, random_.Bits(), fingerprints);
   if (!suspicions.empty())
--- a/banyanloft/calls/target_runner.h
+++ b/banyanloft/calls/target_runner.h
@@ -3,13 +3,13 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <variant>
 #include <vector>
 
 #include "banyanloft/admission/crash_guard.h"
+#include "banyanloft/admission/lost_runs.h"
 #include "banyanloft/admission/rank_admission_controller.h"
 #include "banyanloft/calls/call_types.h"
 #include "banyanloft/config/snapshot.h"
@@ -26,8 +26,7 @@
   CrashGuardSettings crash_guard;
   int64_t run_limit_ms =
       30000;  ///< Time limit of keyed work, which callers may resend, in ms.
-  int64_t crash_window_ms = 5000;  ///< Runs broken within this time before a
-                                   ///< crash are suspects, in ms.
+  LostRunsSettings lost_runs;
 };
 
 /// Destination of an answer: a peer's link address, or empty for this daemon.
@@ -152,8 +151,10 @@
   void Answer(const ReplyAddress& to, int rank_index, RunOutcome outcome,
               bool retried_downstream, Actions* actions);
   RunOutcome OutcomeOf(const BackendResult& result) const;
-  void RecordBrokenRun(TimeMs now, uint64_t fingerprint, Actions* actions);
-  void OnCrash(TimeMs now, Actions* actions);
+  void RecordLostRun(TimeMs now, BackendResult::Type type, uint64_t fingerprint,
+                     Actions* actions);
+  void RecordCrash(TimeMs now, const std::vector<uint64_t>& fingerprints,
+                   Actions* actions);
   static std::vector<RankShare> SharesOf(const Configuration& config);
 
   RunnerSettings settings_;
@@ -169,8 +170,7 @@
   std::map<std::pair<std::string, uint64_t>, uint64_t> work_by_attempt_;
   std::map<uint64_t, std::pair<ReplyAddress, int>> waiters_;
   uint64_t next_waiter_ = 1;
-  std::set<uint64_t> broken_runs_;
-  TimeMs broken_since_{-1000000};
+  LostRuns lost_runs_;
   bool probe_in_flight_ = false;
   Counters counters_;
 };
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -68,6 +68,7 @@
       registry_(settings.address, settings.heartbeat_ms),
       admission_(settings.admission),
       crash_guard_(settings.crash_guard),
+      lost_runs_(settings.lost_runs),
       next_probe_(now) {
   admission_.AwaitRateLimit(settings.runs_before_first_response);
 }
@@ -206,6 +207,7 @@
   } else if (!result.notice) {
     admission_.OnNoResponse();
   }
+  if (result.notice) lost_runs_.OnResponse(work.started);
   bool answered = result.type == RunResult::Type::kAnswered;
   int64_t run_ms = answered ? now - work.started : -1;
   counters_.Add("run_results_total", NameOf(result.type));
@@ -244,8 +246,7 @@
   uint64_t fingerprint = work.fingerprint;
   Answer(now, work, std::move(answer), actions);
   Drop(now, result.run, actions);
-  if (result.type == RunResult::Type::kBroken)
-    RecordBrokenRun(now, fingerprint, actions);
+  RecordLostRun(now, result.type, fingerprint, actions);
   // Before the slot is released: queued requests would fail in the same way.
   bool lost = result.type == RunResult::Type::kNotSent ||
               result.type == RunResult::Type::kMisplaced;
@@ -312,7 +313,11 @@
 void BackendRunner::OnReport(TimeMs now, const InstanceReport& report,
                              Actions* actions) {
   if (report.slots > 0) admission_.SetSlots(report.slots);
-  OnInstanceChange(now, registry_.OnReport(now, report), actions);
+  InstanceState before = registry_.State();
+  uint64_t starts = registry_.Starts();
+  InstanceRegistry::Change change = registry_.OnReport(now, report);
+  if (registry_.Starts() != starts) OnRestart(now, before, actions);
+  OnInstanceChange(now, change, actions);
   if (!registry_.NeedsHealthCheck()) return;
   // A server that reports can also answer.
   next_probe_ = now;
@@ -336,16 +341,12 @@
     case InstanceRegistry::Change::kStarted:
       LogInstance("instance_started", actions);
       SetRateLimit(now, std::nullopt, actions);
-      OnCrash(now, actions);
       break;
     case InstanceRegistry::Change::kUpdated:
       LogInstance("instance_changed", actions);
       break;
   }
-  InstanceState state = registry_.State();
-  bool leaving =
-      state == InstanceState::kDraining || state == InstanceState::kGone;
-  if (!leaving) return;
+  if (!IsLeaving(registry_.State())) return;
   AdmissionController::Decisions decisions;
   admission_.RefuseAll(ErrorKind::kDraining, &decisions);
   ApplyDecisions(now, decisions, actions);
@@ -380,14 +381,18 @@
   if (result.notice && probed_start_ == registry_.Starts())
     OnNotice(now, *result.notice, "health_check", actions);
   if (!result.up) {
-    OnCrash(now, actions);
+    OnUnreachable(now, actions);
     return MarkInstanceUnreachable(now, actions);
   }
   if (instance.empty()) return;
+  InstanceState before = registry_.State();
+  uint64_t starts = registry_.Starts();
   bool other = !registry_.Last().id.empty() && registry_.Last().id != instance;
   if (other) registry_.OnUnreachable();
-  OnInstanceChange(now, registry_.OnHealthy(now, instance, settings_.service),
-                   actions);
+  InstanceRegistry::Change change =
+      registry_.OnHealthy(now, instance, settings_.service);
+  if (registry_.Starts() != starts) OnRestart(now, before, actions);
+  OnInstanceChange(now, change, actions);
 }
 
 void BackendRunner::OnNotice(TimeMs now, const BackendNotice& notice,
@@ -444,25 +449,49 @@
   ApplyDecisions(now, decisions, actions);
 }
 
-/// A broken run may mean a crash; a health check decides before any request is
-/// suspected.
-void BackendRunner::RecordBrokenRun(TimeMs now, uint64_t fingerprint,
-                                    Actions* actions) {
-  if (now - broken_since_ >= settings_.crash_window_ms)
-    broken_requests_.clear();
-  if (broken_requests_.empty()) broken_since_ = now;
-  broken_requests_.insert(fingerprint);
+/// A broken run may mean a crash, which a health check or a restart confirms;
+/// an unanswered one means a crash only if the backend server restarts.
+void BackendRunner::RecordLostRun(TimeMs now, RunResult::Type type,
+                                  uint64_t fingerprint, Actions* actions) {
+  bool unanswered =
+      type == RunResult::Type::kTimeout || type == RunResult::Type::kCancelled;
+  if (unanswered) return lost_runs_.OnUnanswered(now, fingerprint);
+  if (type != RunResult::Type::kBroken) return;
+  lost_runs_.OnBroken(now, fingerprint);
   Probe(now, actions);
 }
 
-void BackendRunner::OnCrash(TimeMs now, Actions* actions) {
-  if (broken_requests_.empty() ||
-      now - broken_since_ >= settings_.crash_window_ms)
-    return;
+/// A server that leaves closes its connections without a crash.
+bool BackendRunner::IsLeaving(InstanceState state) {
+  return state == InstanceState::kDraining || state == InstanceState::kGone;
+}
+
+void BackendRunner::OnUnreachable(TimeMs now, Actions* actions) {
+  if (!IsLeaving(registry_.State()))
+    RecordCrash(now, lost_runs_.TakeBroken(now), actions);
+}
+
+/// The backend server has restarted: runs of its earlier start that have no
+/// response by now were in progress when it ended.
+void BackendRunner::OnRestart(TimeMs now, InstanceState before,
+                              Actions* actions) {
+  if (IsLeaving(before)) return lost_runs_.Clear();
+  std::vector<uint64_t> fingerprints = lost_runs_.TakeAll(now);
+  for (const auto& [id, work] : works_) {
+    bool earlier_start =
+        work.running && work.server_start != registry_.Starts();
+    if (earlier_start) fingerprints.push_back(work.fingerprint);
+  }
+  RecordCrash(now, std::move(fingerprints), actions);
+}
+
+void BackendRunner::RecordCrash(TimeMs now, std::vector<uint64_t> fingerprints,
+                                Actions* actions) {
+  if (fingerprints.empty()) return;
+  std::sort(fingerprints.begin(), fingerprints.end());
+  fingerprints.erase(std::unique(fingerprints.begin(), fingerprints.end()),
+                     fingerprints.end());
   counters_.Add("backend_crashes_total");
-  std::vector<uint64_t> fingerprints(broken_requests_.begin(),
-                                     broken_requests_.end());
-  broken_requests_.clear();
   actions->push_back(
       LogRecord{LogLevel::kWarning,
                 "instance_crashed",
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -2,12 +2,12 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "banyanloft/admission/crash_guard.h"
+#include "banyanloft/admission/lost_runs.h"
 #include "banyanloft/core/counters.h"
 #include "banyanloft/core/histograms.h"
 #include "banyanloft/core/log.h"
@@ -25,10 +25,7 @@
   std::string address;  ///< `ip:port` of the backend server.
   AdmissionSettings admission;
   CrashGuardSettings crash_guard;
-  /// A crash is attributed to the runs that broke within this time before it
-  /// was detected, in ms: a crash breaks all connections at once, and the
-  /// backend server restarts within seconds.
-  int64_t crash_window_ms = 6000;
+  LostRunsSettings lost_runs;
   int64_t heartbeat_ms = 1500;  ///< Period of the backend server's reports.
   /// Number of consecutive missed reports after which a health check is sent:
   /// one may be lost, and one late.
@@ -185,6 +182,7 @@
     uint64_t server_start = 0;  ///< InstanceRegistry::Starts() at the start.
   };
 
+  static bool IsLeaving(InstanceState state);
   std::optional<ErrorKind> CheckNew(TimeMs now, const Work& work) const;
   void ApplyDecisions(TimeMs now,
                       const AdmissionController::Decisions& decisions,
@@ -197,7 +195,8 @@
   void OnInstanceChange(TimeMs now, InstanceRegistry::Change change,
                         Actions* actions);
   void MarkInstanceUnreachable(TimeMs now, Actions* actions);
-  void RecordBrokenRun(TimeMs now, uint64_t fingerprint, Actions* actions);
+  void RecordLostRun(TimeMs now, RunResult::Type type, uint64_t fingerprint,
+                     Actions* actions);
   void OnNotice(TimeMs now, const BackendNotice& notice, const char* source,
                 Actions* actions);
   void ApplyLimit(TimeMs now, std::optional<double> per_s, const char* source,
@@ -205,7 +204,10 @@
   void ApplyLeaving(TimeMs now, const char* source, Actions* actions);
   void SetRateLimit(TimeMs now, std::optional<double> per_s, Actions* actions);
   bool MustProbe(TimeMs now) const;
-  void OnCrash(TimeMs now, Actions* actions);
+  void OnUnreachable(TimeMs now, Actions* actions);
+  void OnRestart(TimeMs now, InstanceState before, Actions* actions);
+  void RecordCrash(TimeMs now, std::vector<uint64_t> fingerprints,
+                   Actions* actions);
   void Probe(TimeMs now, Actions* actions);
   void LogInstance(const char* event, Actions* actions);
   void LogSuspectStart(TimeMs now, const Work& work, Actions* actions);
@@ -218,9 +220,7 @@
   uint64_t next_work_ = 1;
   std::map<uint64_t, Work> works_;
   std::map<ForwardOrigin, uint64_t> work_by_origin_;
-  /// Fingerprints of the requests whose runs broke, possibly by a crash.
-  std::set<uint64_t> broken_requests_;
-  TimeMs broken_since_{-1000000};
+  LostRuns lost_runs_;
   bool probing_ = false;
   uint64_t probed_start_ = 0;  ///< InstanceRegistry::Starts() at the check.
   TimeMs next_probe_;
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -450,6 +450,26 @@
   LONGS_EQUAL(runs + 1, Count<StartRun>());
 }
 
+TEST(backend_runner, serverFallsSilentAndRestarts_unansweredRunsAreSuspects) {
+  Report(1);
+  Forward(TimeMs(0), 1, false, "timed out");
+  Forward(TimeMs(0), 2, false, "running");
+  End(0, RunResult::Type::kTimeout, TimeMs(900));
+  runner_->OnReport(TimeMs(3000), ReportOf(1, false, 5000), &actions_);
+  LONGS_EQUAL(1, Count<SpreadCrashSuspicions>());
+  LONGS_EQUAL(2, runner_->SuspectedRequests());
+}
+
+TEST(backend_runner, serverLeavesAndIsReplaced_itsRunsAreNoSuspects) {
+  Report(1);
+  Forward(TimeMs(0), 1, false, "cut by the exit");
+  Report(2, true);
+  End(0, RunResult::Type::kBroken, TimeMs(100));
+  runner_->OnProbed(TimeMs(110), ProbeResult{false, "", {}}, &actions_);
+  runner_->OnReport(TimeMs(3000), ReportOf(1, false, 5000), &actions_);
+  LONGS_EQUAL(0, runner_->SuspectedRequests());
+}
+
 TEST(backend_runner, daemonRestarted_probesInstanceBeforeAnyRun) {
   runner_->Tick(TimeMs(20), &actions_);
   LONGS_EQUAL(1, Count<ProbeInstance>());
