Crash suspicions: daemons that start or join later are told of them

Class of fault: an update that is only pushed when it happens is missing at every receiver that was not there. Member records had anti-entropy by digests; suspicions now have the same: 16 hashes beside the member digest (only if there are suspicions), and the differing ones as the reply. They carry their age, so that they expire everywhere at the same time. New ones are gossiped before old ones, and the queue is bounded, as digests bring what it drops. banyanloftd compares its suspicions in the same way.

Daemons of an earlier release do not understand a digest with suspicions, nor suspicions with an age; they understand all other datagrams.

A restart of all daemons is not mended by this.

--- a/banyanloft/admission/crash_guard.h
+++ b/banyanloft/admission/crash_guard.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <unordered_map>
@@ -23,14 +24,20 @@
   uint64_t fingerprint = 0;  ///< Hash of route and body.
   uint64_t crash_id = 0;     ///< Identity of the crash.
   bool cleared = false;
+  int64_t age_ms = 0;  ///< Time since the crash, in ms.
 };
 
 /// Detects requests that crash backend servers and stops them from being run
 /// repeatedly, without refusing requests that were only in flight at the same
 /// time. Suspicions are replicated between daemons; merging them is commutative
-/// and idempotent. Deterministic; not thread safe.
+/// and idempotent, and a digest tells where two daemons differ. Deterministic;
+/// not thread safe.
 class CrashGuard {
  public:
+  /// Number of hash buckets in a digest of the suspicions.
+  static constexpr size_t kDigestBuckets = 16;
+  using SuspicionDigest = std::array<uint64_t, kDigestBuckets>;
+
   enum class Verdict : uint8_t {
     kClear,      ///< Run normally.
     kExclusive,  ///< Suspect: run, but not concurrently with another suspect.
@@ -57,6 +64,11 @@
       TimeMs now, const std::vector<CrashSuspicion>& suspicions);
   /// Removes expired suspicions.
   void Tick(TimeMs now);
+  /// One hash per bucket over all suspicions; 0 for an empty bucket.
+  const SuspicionDigest& Digest() const { return digest_; }
+  /// The suspicions of the buckets in which the digests differ.
+  std::vector<CrashSuspicion> DifferingFrom(TimeMs now,
+                                            const SuspicionDigest& other) const;
   /// Number of tracked requests.
   size_t Size() const { return requests_.size(); }
 
@@ -68,8 +80,15 @@
   using SuspicionsByCrash = std::map<uint64_t, Suspicion>;
 
   bool Apply(TimeMs now, const CrashSuspicion& suspicion);
+  /// Adds a suspicion to the digest, or removes it.
+  void ToggleInDigest(uint64_t fingerprint, uint64_t crash_id, bool cleared);
+  static size_t BucketOf(uint64_t fingerprint) {
+    return fingerprint % kDigestBuckets;
+  }
 
   CrashGuardSettings settings_;
+  SuspicionDigest digest_{};
+  TimeMs next_expiry_;
   std::unordered_map<uint64_t, SuspicionsByCrash> requests_;
 };
 
--- a/banyanloft/calls/target_runner.h
+++ b/banyanloft/calls/target_runner.h
@@ -122,6 +122,8 @@
   /// Handles deadlines, time limits and expiry.
   void Tick(TimeMs now, Actions* actions);
 
+  /// Requests suspected of crashing servers, as far as known here.
+  const CrashGuard& Suspects() const { return crash_guard_; }
   /// Number of work items waiting or running.
   size_t InFlight() const { return works_.size(); }
   const RankAdmissionController& Admission() const { return admission_; }
--- a/banyanloft/daemon/node.cc
+++ b/banyanloft/daemon/node.cc
@@ -74,6 +74,7 @@
       runner_(settings.runner, id, settings.secret,
               SeedOf(settings.seed, SeedStream::kRunner), now) {
   membership_.AddSeeds(settings.peers);
+  membership_.ReplicateSuspicions(&runner_.Suspects());
 }
 
 void Node::OnCall(TimeMs now, uint64_t call, CallRequest request,
--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -339,8 +339,12 @@
 Json EncodeCrashSuspicions(const std::vector<CrashSuspicion>& suspicions) {
   Json list = Json::array();
   for (const CrashSuspicion& suspicion : suspicions) {
-    list.push_back(Json::array(
-        {suspicion.fingerprint, suspicion.crash_id, suspicion.cleared}));
+    Json item = Json::array(
+        {suspicion.fingerprint, suspicion.crash_id, suspicion.cleared});
+    // Left out of new suspicions, so that members without this field
+    // understand them.
+    if (suspicion.age_ms > 0) item.push_back(suspicion.age_ms);
+    list.push_back(std::move(item));
   }
   return list;
 }
@@ -363,6 +367,7 @@
     suspicion.fingerprint = item.Unsigned();
     suspicion.crash_id = item.Unsigned();
     suspicion.cleared = item.Bool();
+    if (item.Ok() && !item.Done()) suspicion.age_ms = item.Integer();
     if (!item.Done()) list.Fail();
     suspicions->push_back(suspicion);
   }
@@ -395,10 +400,12 @@
        d.reply_to, subject, d.version, d.version_age_ms, d.from_link, d.zone,
        d.detail, d.wants_reply, EncodeMembers(d.members),
        EncodeCrashSuspicions(d.crash_suspicions), d.digest});
-  if (d.document_generation != 0) {
+  bool has_suspicions = d.suspicion_digest != CrashGuard::SuspicionDigest{};
+  if (d.document_generation != 0 || has_suspicions) {
     fields.push_back(d.document_generation);
     fields.push_back(d.document_hash);
   }
+  if (has_suspicions) fields.push_back(d.suspicion_digest);
   std::string payload = ToCbor(fields);
   return KeyedHash(secret, payload) + payload;
 }
@@ -443,6 +450,11 @@
     d.document_generation = r.Unsigned();
     d.document_hash = r.Unsigned();
   }
+  if (r.Ok() && !r.Done()) {
+    CborReader buckets(r.Next());
+    for (uint64_t& bucket : d.suspicion_digest) bucket = buckets.Unsigned();
+    if (!buckets.Done()) r.Fail();
+  }
   if (!r.Done() || !hashes.Done()) return ProtocolError("datagram");
   return d;
 }
--- a/banyanloft/membership/member.h
+++ b/banyanloft/membership/member.h
@@ -82,6 +82,9 @@
   std::vector<MemberRecord> members;
   std::vector<CrashSuspicion> crash_suspicions;
   std::vector<uint64_t> digest;  ///< With kDigest: one hash per bucket.
+  /// With kDigest: digest of the sender's crash suspicions. Sent only if there
+  /// are any, so that members without this field understand the datagram.
+  CrashGuard::SuspicionDigest suspicion_digest{};
   /// If the store was restored from an older copy: its generation when the
   /// sender's document was read from it, and the document's hash. Sent only if
   /// not 0, so that members without this field understand all other datagrams.
--- a/banyanloft/membership/membership.cc
+++ b/banyanloft/membership/membership.cc
@@ -18,6 +18,9 @@
 constexpr size_t kRankedPerZone = 4;
 constexpr size_t kCrashSuspicionsPerDatagram = 8;
 constexpr int kCrashSuspicionTransmissions = 12;
+constexpr size_t kMaxPendingCrashSuspicions = 500;
+/// Crash suspicions in a datagram that answers a digest: about 1 KB.
+constexpr size_t kCrashSuspicionsPerReply = 32;
 
 TimeMs EarlierOf(TimeMs a, TimeMs b) { return a < b ? a : b; }
 
@@ -274,8 +277,11 @@
 
 void Membership::QueueCrashSuspicions(
     const std::vector<CrashSuspicion>& suspicions) {
+  // The newest are sent first. If there are too many, digests bring the rest.
   for (const CrashSuspicion& suspicion : suspicions)
-    pending_crash_suspicions_.emplace_back(suspicion, 0);
+    pending_crash_suspicions_.emplace_front(suspicion, 0);
+  if (pending_crash_suspicions_.size() > kMaxPendingCrashSuspicions)
+    pending_crash_suspicions_.resize(kMaxPendingCrashSuspicions);
 }
 
 void Membership::Apply(TimeMs now, const MemberRecord& update) {
@@ -532,28 +538,51 @@
 
 void Membership::SendDigestTo(const std::string& to,
                               std::vector<DatagramOut>* out) {
-  Datagram datagram = Make(DatagramType::kDigest);
-  datagram.digest = Digest();
-  datagram.reply_to = self_.gossip;
+  Datagram datagram = MakeDigest();
   datagram.wants_reply = true;
   datagram.members.push_back(self_);
   out->push_back({to, std::move(datagram)});
 }
 
-/// Replies with the records of the buckets that differ. If they exceed the
-/// limit of datagrams, a random contiguous part is sent.
+Datagram Membership::MakeDigest() {
+  Datagram datagram = Make(DatagramType::kDigest);
+  datagram.digest = Digest();
+  datagram.reply_to = self_.gossip;
+  if (crash_guard_ != nullptr)
+    datagram.suspicion_digest = crash_guard_->Digest();
+  return datagram;
+}
+
+/// Replies with what differs: a member that started, or was cut off, after
+/// updates had been gossiped learns of them only in this way.
 void Membership::AnswerDigest(TimeMs now, const Datagram& datagram,
                               std::vector<DatagramOut>* out) {
   if (datagram.digest.size() != kDigestBuckets) return;
+  bool members_match = SendDifferingMembers(datagram, out);
+  bool suspicions_match = SendDifferingSuspicions(now, datagram, out);
+  joined_ = joined_ || members_match;
+  last_digest_matched_ = members_match && suspicions_match;
+  if (last_digest_matched_) return;
+  next_digest_ = EarlierOf(next_digest_, now + settings_.join_period_ms);
+  if (datagram.wants_reply) out->push_back({datagram.reply_to, MakeDigest()});
+}
+
+/// First datagram and number of datagrams of a reply: if the reply exceeds the
+/// limit, a random contiguous part is sent.
+std::pair<size_t, size_t> Membership::SelectReplies(size_t datagrams) {
+  if (datagrams <= settings_.digest_reply_datagrams) return {0, datagrams};
+  return {random_.Below(datagrams), settings_.digest_reply_datagrams};
+}
+
+/// Sends the records of the buckets that differ; true if none do.
+bool Membership::SendDifferingMembers(const Datagram& digest,
+                                      std::vector<DatagramOut>* out) {
   std::vector<uint64_t> own = Digest();
   std::set<size_t> differing;
   for (size_t i = 0; i < kDigestBuckets; ++i) {
-    if (own[i] != datagram.digest[i]) differing.insert(i);
+    if (own[i] != digest.digest[i]) differing.insert(i);
   }
-  last_digest_matched_ = differing.empty();
-  joined_ = joined_ || last_digest_matched_;
-  if (last_digest_matched_) return;
-  next_digest_ = EarlierOf(next_digest_, now + settings_.join_period_ms);
+  if (differing.empty()) return true;
 
   std::vector<const MemberRecord*> records;
   records.push_back(&self_);
@@ -562,24 +591,38 @@
   }
   size_t datagrams = (records.size() + settings_.updates_per_datagram - 1) /
                      settings_.updates_per_datagram;
-  size_t start = datagrams > settings_.digest_reply_datagrams
-                     ? random_.Below(datagrams)
-                     : 0;
-  size_t count = std::min(datagrams, settings_.digest_reply_datagrams);
+  auto [start, count] = SelectReplies(datagrams);
   for (size_t i = 0; i < count; ++i) {
     size_t first = ((start + i) % datagrams) * settings_.updates_per_datagram;
     size_t end =
         std::min(first + settings_.updates_per_datagram, records.size());
     Datagram update = Make(DatagramType::kUpdates);
     for (size_t k = first; k < end; ++k) update.members.push_back(*records[k]);
-    out->push_back({datagram.reply_to, std::move(update)});
-  }
-  if (datagram.wants_reply) {
-    Datagram back = Make(DatagramType::kDigest);
-    back.digest = std::move(own);
-    back.reply_to = self_.gossip;
-    out->push_back({datagram.reply_to, std::move(back)});
+    out->push_back({digest.reply_to, std::move(update)});
+  }
+  return false;
+}
+
+/// Sends the crash suspicions of the buckets that differ; true if none do.
+bool Membership::SendDifferingSuspicions(TimeMs now, const Datagram& digest,
+                                         std::vector<DatagramOut>* out) {
+  if (crash_guard_ == nullptr ||
+      digest.suspicion_digest == crash_guard_->Digest())
+    return true;
+  std::vector<CrashSuspicion> differing =
+      crash_guard_->DifferingFrom(now, digest.suspicion_digest);
+  size_t datagrams = (differing.size() + kCrashSuspicionsPerReply - 1) /
+                     kCrashSuspicionsPerReply;
+  auto [start, count] = SelectReplies(datagrams);
+  for (size_t i = 0; i < count; ++i) {
+    size_t first = ((start + i) % datagrams) * kCrashSuspicionsPerReply;
+    size_t end = std::min(first + kCrashSuspicionsPerReply, differing.size());
+    Datagram update = Make(DatagramType::kUpdates);
+    for (size_t k = first; k < end; ++k)
+      update.crash_suspicions.push_back(differing[k]);
+    out->push_back({digest.reply_to, std::move(update)});
   }
+  return false;
 }
 
 /// Pings a random unreachable member and includes its record, so that the
--- a/banyanloft/membership/membership.h
+++ b/banyanloft/membership/membership.h
@@ -70,6 +70,10 @@
   Membership(const MembershipSettings& settings, MemberRecord self,
              uint64_t seed, TimeMs now, MembershipListener* listener);
 
+  /// Compares the crash suspicions with those of other members whenever member
+  /// tables are compared, and sends the differing ones. `guard` must outlive
+  /// this object.
+  void ReplicateSuspicions(const CrashGuard* guard) { crash_guard_ = guard; }
   /// Adds gossip addresses of members to join through.
   void AddSeeds(const std::vector<std::string>& gossip_addresses);
   /// Sends a digest to each address that belongs to no known live member, so
@@ -160,8 +164,14 @@
   void SendUpdates(TimeMs now, std::vector<DatagramOut>* out);
   void SendDigest(TimeMs now, std::vector<DatagramOut>* out);
   void SendDigestTo(const std::string& to, std::vector<DatagramOut>* out);
+  Datagram MakeDigest();
   void AnswerDigest(TimeMs now, const Datagram& datagram,
                     std::vector<DatagramOut>* out);
+  bool SendDifferingMembers(const Datagram& digest,
+                            std::vector<DatagramOut>* out);
+  bool SendDifferingSuspicions(TimeMs now, const Datagram& digest,
+                               std::vector<DatagramOut>* out);
+  std::pair<size_t, size_t> SelectReplies(size_t datagrams);
   void PingUnreachable(std::vector<DatagramOut>* out);
   void ForgetOld(TimeMs now);
   const std::vector<MemberId>& AliveInZone(const std::string& zone) const;
@@ -194,6 +204,7 @@
   std::unordered_map<uint64_t, Relay> relays_;
   std::map<MemberId, PendingUpdate> pending_updates_;
   std::deque<std::pair<CrashSuspicion, int>> pending_crash_suspicions_;
+  const CrashGuard* crash_guard_ = nullptr;
   std::vector<std::string> seeds_;
   std::vector<std::string> unknown_addresses_;
   bool joined_ = false;               ///< A digest has matched since the start.
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -158,8 +158,8 @@
   /// Service that the backend server runs.
   const std::string& Service() const;
   size_t InFlight() const { return works_.size(); }
-  /// Number of requests that are tracked as suspected of crashing servers.
-  size_t SuspectedRequests() const { return crash_guard_.Size(); }
+  /// Requests suspected of crashing servers, as far as known here.
+  const CrashGuard& Suspects() const { return crash_guard_; }
   /// Sets the expected period of the backend server's reports, in ms.
   void SetHeartbeat(int64_t heartbeat_ms) {
     settings_.heartbeat_ms = heartbeat_ms;
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -86,7 +86,9 @@
       forwarder_(settings.forwarder,
                  SeedOf(settings.seed, SeedStream::kForwarder), this),
       runner_(settings.runner, SeedOf(settings.seed, SeedStream::kRunner), now),
-      last_datagram_at_(now) {}
+      last_datagram_at_(now) {
+  membership_.ReplicateSuspicions(&runner_.Suspects());
+}
 
 void MeshNode::ApplySettings(const MeshNodeSettings& next) {
   assert(!draining_);
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -452,7 +452,7 @@
        node_->Runner().Admission().RateLimit().value_or(-1.0)},
       {"requests_suspected",
        "Requests that are suspected of crashing backend servers",
-       static_cast<double>(node_->Runner().SuspectedRequests())},
+       static_cast<double>(node_->Runner().Suspects().Size())},
       {"log_lines_dropped", "Log lines dropped since the start",
        static_cast<double>(DroppedLogLines())},
       {"ready", "1 if clients should send new work here",
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -457,7 +457,7 @@
   End(0, RunResult::Type::kTimeout, TimeMs(900));
   runner_->OnReport(TimeMs(3000), ReportOf(1, false, 5000), &actions_);
   LONGS_EQUAL(1, Count<SpreadCrashSuspicions>());
-  LONGS_EQUAL(2, runner_->SuspectedRequests());
+  LONGS_EQUAL(2, runner_->Suspects().Size());
 }
 
 TEST(backend_runner, serverLeavesAndIsReplaced_itsRunsAreNoSuspects) {
@@ -467,7 +467,7 @@
   End(0, RunResult::Type::kBroken, TimeMs(100));
   runner_->OnProbed(TimeMs(110), ProbeResult{false, "", {}}, &actions_);
   runner_->OnReport(TimeMs(3000), ReportOf(1, false, 5000), &actions_);
-  LONGS_EQUAL(0, runner_->SuspectedRequests());
+  LONGS_EQUAL(0, runner_->Suspects().Size());
 }
 
 TEST(backend_runner, daemonRestarted_probesInstanceBeforeAnyRun) {
--- a/tests/crash_guard_test.cc
+++ b/tests/crash_guard_test.cc
@@ -43,8 +43,8 @@
 }
 
 TEST(crash_guard, clearingReceivedBeforeItsSuspicion_stillClears) {
-  guard_.Merge(TimeMs(0), {{1, 100, true}});
-  guard_.Merge(TimeMs(1), {{1, 100, false}});
+  guard_.Merge(TimeMs(0), {{1, 100, true, 0}});
+  guard_.Merge(TimeMs(1), {{1, 100, false, 0}});
   CHECK(guard_.Check(TimeMs(1), 1) == Verdict::kClear);
 }
 
@@ -61,3 +61,31 @@
     guard_.OnCrash(TimeMs(0), 1, {i});
   CHECK(guard_.Size() <= settings_.max_fingerprints);
 }
+
+TEST(crash_guard, daemonThatStartsLater_learnsAllFromTheDigest) {
+  for (uint64_t crash = 0; crash < 3; ++crash)
+    guard_.OnCrash(TimeMs(0), crash, {1, 2, 3});
+  guard_.OnSuccess(TimeMs(1), 2);
+  CrashGuard later(settings_);
+  later.Merge(TimeMs(5000), guard_.DifferingFrom(TimeMs(5000), later.Digest()));
+  CHECK(later.Digest() == guard_.Digest());
+  CHECK(later.Check(TimeMs(5000), 1) == Verdict::kRefuse);
+  CHECK(later.Check(TimeMs(5000), 2) == Verdict::kClear);
+  CHECK(guard_.DifferingFrom(TimeMs(5000), later.Digest()).empty());
+}
+
+TEST(crash_guard, suspicionLearnedLater_expiresAtTheSameTime) {
+  guard_.OnCrash(TimeMs(0), 100, {1});
+  TimeMs learned(settings_.suspicion_ttl_ms - 1000);
+  CrashGuard later(settings_);
+  later.Merge(learned, guard_.DifferingFrom(learned, later.Digest()));
+  CHECK(later.Check(learned, 1) == Verdict::kExclusive);
+  CHECK(later.Check(TimeMs(settings_.suspicion_ttl_ms), 1) == Verdict::kClear);
+}
+
+TEST(crash_guard, allSuspicionsExpired_digestIsEmpty) {
+  guard_.OnCrash(TimeMs(0), 100, {1, 2});
+  guard_.OnSuccess(TimeMs(1), 2);
+  guard_.Tick(TimeMs(settings_.suspicion_ttl_ms));
+  CHECK(guard_.Digest() == CrashGuard::SuspicionDigest{});
+}
--- a/tests/link_test.cc
+++ b/tests/link_test.cc
@@ -198,6 +198,23 @@
   CHECK(holds);
 }
 
+TEST(link, datagramWithSuspicions_isUnchanged) {
+  Datagram datagram;
+  datagram.type = DatagramType::kDigest;
+  datagram.from = 7;
+  datagram.crash_suspicions = {{1, 2, false, 0}, {3, 4, true, 5000}};
+  datagram.suspicion_digest[3] = 9;
+  Result<Datagram> read =
+      DecodeDatagram(EncodeDatagram(datagram, "secret"), "secret");
+  CHECK(ValueOf(read) != nullptr);
+  const Datagram& got = *ValueOf(read);
+  CHECK(got.suspicion_digest == datagram.suspicion_digest);
+  LONGS_EQUAL(2, got.crash_suspicions.size());
+  LONGS_EQUAL(0, got.crash_suspicions[0].age_ms);
+  LONGS_EQUAL(5000, got.crash_suspicions[1].age_ms);
+  CHECK(got.crash_suspicions[1].cleared);
+}
+
 TEST(link, datagramAfterARestore_carriesTheDocumentsGeneration) {
   Datagram datagram;
   datagram.from = 5;
