Crash suspicions: kept in the store, so that they outlast all daemons

Suspicions lived in the daemons' memory alone; whatever must last belongs in the store.

SuspicionStore adds a daemon's own suspicions to one object as soon as it raises them, with a conditional write that merges what others wrote. Each daemon reads it once when it starts; zone watchers also read it while a zone is out of reach of gossip, and once a minute while there are suspicions, to remove those that are cleared or expired. Without a crash it costs one read a start.

--- a/banyanloft/admission/crash_guard.cc
+++ b/banyanloft/admission/crash_guard.cc
@@ -10,6 +10,16 @@
 /// Interval at which expired suspicions are removed, in ms.
 constexpr int64_t kExpiryPeriodMs = 1000;
 
+/// The order of a hash table differs between platforms.
+void SortByFingerprint(std::vector<CrashSuspicion>* suspicions) {
+  std::sort(suspicions->begin(), suspicions->end(),
+            [](const CrashSuspicion& a, const CrashSuspicion& b) {
+              return a.fingerprint != b.fingerprint
+                         ? a.fingerprint < b.fingerprint
+                         : a.crash_id < b.crash_id;
+            });
+}
+
 }  // namespace
 
 CrashGuard::Verdict CrashGuard::Check(TimeMs now, uint64_t fingerprint) const {
@@ -98,13 +108,20 @@
       out.push_back(
           {fingerprint, crash, suspicion.cleared, now - suspicion.raised_at});
   }
-  // The order of a hash table differs between platforms.
-  std::sort(out.begin(), out.end(),
-            [](const CrashSuspicion& a, const CrashSuspicion& b) {
-              return a.fingerprint != b.fingerprint
-                         ? a.fingerprint < b.fingerprint
-                         : a.crash_id < b.crash_id;
-            });
+  SortByFingerprint(&out);
+  return out;
+}
+
+std::vector<CrashSuspicion> CrashGuard::Uncleared(TimeMs now) const {
+  std::vector<CrashSuspicion> out;
+  for (const auto& [fingerprint, suspicions] : requests_) {
+    for (const auto& [crash, suspicion] : suspicions) {
+      int64_t age_ms = now - suspicion.raised_at;
+      bool counts = !suspicion.cleared && age_ms < settings_.suspicion_ttl_ms;
+      if (counts) out.push_back({fingerprint, crash, false, age_ms});
+    }
+  }
+  SortByFingerprint(&out);
   return out;
 }
 
--- a/banyanloft/admission/crash_guard.h
+++ b/banyanloft/admission/crash_guard.h
@@ -64,6 +64,8 @@
       TimeMs now, const std::vector<CrashSuspicion>& suspicions);
   /// Removes expired suspicions.
   void Tick(TimeMs now);
+  /// All suspicions that count, in the order of fingerprints.
+  std::vector<CrashSuspicion> Uncleared(TimeMs now) const;
   /// One hash per bucket over all suspicions; 0 for an empty bucket.
   const SuspicionDigest& Digest() const { return digest_; }
   /// The suspicions of the buckets in which the digests differ.
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -228,7 +228,7 @@
     std::vector<CrashSuspicion> cleared =
         crash_guard_.OnSuccess(now, work.fingerprint);
     if (!cleared.empty())
-      actions->push_back(SpreadCrashSuspicions{std::move(cleared)});
+      actions->push_back(SpreadCrashSuspicions{std::move(cleared), false});
   }
 
   ForwardAnswer answer;
@@ -501,12 +501,12 @@
   std::vector<CrashSuspicion> suspicions =
       crash_guard_.OnCrash(now, random_.Bits(), fingerprints);
   if (!suspicions.empty())
-    actions->push_back(SpreadCrashSuspicions{std::move(suspicions)});
+    actions->push_back(SpreadCrashSuspicions{std::move(suspicions), true});
 }
 
 void BackendRunner::OnCrashSuspicions(
-    TimeMs now, const std::vector<CrashSuspicion>& suspicions,
-    Actions* actions) {
+    TimeMs now, const char* source,
+    const std::vector<CrashSuspicion>& suspicions, Actions* actions) {
   std::vector<CrashSuspicion> added = crash_guard_.Merge(now, suspicions);
   if (added.empty()) return;
   std::vector<uint64_t> refused;
@@ -515,14 +515,15 @@
                   CrashGuard::Verdict::kRefuse;
     if (refuse) refused.push_back(suspicion.fingerprint);
   }
-  counters_.Add("crash_suspicions_learned_total", "", added.size());
+  counters_.Add("crash_suspicions_learned_total", source, added.size());
   actions->push_back(
       LogRecord{LogLevel::kInfo,
                 "crash_suspicions_learned",
-                {{"count", std::to_string(added.size())},
+                {{"source", source},
+                 {"count", std::to_string(added.size())},
                  {"tracked", std::to_string(crash_guard_.Size())},
                  {"refused", HexOf(refused)}}});
-  actions->push_back(SpreadCrashSuspicions{std::move(added)});
+  actions->push_back(SpreadCrashSuspicions{std::move(added), false});
 }
 
 /// A request that crashed servers is run: tells what was known of it.
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -77,6 +77,7 @@
 /// Action: gossip crash suspicions to the fleet.
 struct SpreadCrashSuspicions {
   std::vector<CrashSuspicion> suspicions;
+  bool raised_here = false;  ///< They are to be stored as well.
 };
 using BackendRunnerAction =
     std::variant<StartRun, CancelRunOnBackend, ProbeInstance, SendForwardAnswer,
@@ -143,8 +144,9 @@
   void OnResult(TimeMs now, RunResult result, Actions* actions);
   /// A health check ended.
   void OnProbed(TimeMs now, const ProbeResult& result, Actions* actions);
-  /// Merges suspicions from other daemons; those that were new are spread.
-  void OnCrashSuspicions(TimeMs now,
+  /// Merges suspicions from other daemons, received by `source`; those that
+  /// were new are spread.
+  void OnCrashSuspicions(TimeMs now, const char* source,
                          const std::vector<CrashSuspicion>& suspicions,
                          Actions* actions);
   /// This process was suspended: refuses all queued requests, whose timing is
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 
 #include "banyanloft/core/digest.h"
 #include "banyanloft/membership/peer_selection.h"
@@ -28,7 +29,8 @@
   kConfig,
   kForwarder,
   kRunner,
-  kWatchDelay
+  kWatchDelay,
+  kSuspicionStore
 };
 
 uint64_t SeedOf(uint64_t seed, SeedStream stream) {
@@ -86,6 +88,8 @@
       forwarder_(settings.forwarder,
                  SeedOf(settings.seed, SeedStream::kForwarder), this),
       runner_(settings.runner, SeedOf(settings.seed, SeedStream::kRunner), now),
+      suspicion_store_(settings.suspicion_store,
+                       SeedOf(settings.seed, SeedStream::kSuspicionStore), now),
       last_datagram_at_(now) {
   membership_.ReplicateSuspicions(&runner_.Suspects());
 }
@@ -222,7 +226,7 @@
   membership_.OnDatagram(now, datagram, &out);
   SendDatagrams(now, std::move(out), actions);
   BackendRunner::Actions runs;
-  runner_.OnCrashSuspicions(now, datagram.crash_suspicions, &runs);
+  runner_.OnCrashSuspicions(now, "gossip", datagram.crash_suspicions, &runs);
   DispatchRunner(now, std::move(runs), actions);
   ConfigFollower::Actions changes;
   bool same_zone = datagram.zone == settings_.zone;
@@ -247,6 +251,12 @@
     if (write) CallStore(std::move(*write), actions);
     return;
   }
+  if (suspicion_store_.IsPending(reply)) {
+    BackendRunner::Actions runs;
+    runner_.OnCrashSuspicions(now, "store",
+                              suspicion_store_.OnReply(now, reply), &runs);
+    return DispatchRunner(now, std::move(runs), actions);
+  }
   if (reply.id != config_call_) return;
   config_call_ = 0;
   ConfigFollower::Actions changes;
@@ -348,10 +358,7 @@
     ConfigFollower::Actions changes;
     config_.Tick(now, watching, &changes);
     DispatchConfig(now, std::move(changes), actions);
-    std::optional<PlatformCall> read =
-        rendezvous_client_.Tick(now, membership_, watching);
-    if (read)
-      rendezvous_client_.OnReadSent(now, CallStore(std::move(*read), actions));
+    TickStoreClients(now, watching, actions);
   }
   if (announcement_due_ && now >= announce_at_) {
     announcement_due_ = false;
@@ -360,6 +367,29 @@
   if (draining_ && !exit_sent_) TickDrain(now, actions);
 }
 
+void MeshNode::TickStoreClients(TimeMs now, bool watching, Actions* actions) {
+  std::optional<PlatformCall> read =
+      rendezvous_client_.Tick(now, membership_, watching);
+  if (read)
+    rendezvous_client_.OnReadSent(now, CallStore(std::move(*read), actions));
+  std::optional<PlatformCall> call = suspicion_store_.Tick(
+      now, runner_.Suspects(), watching, watching && IsPartitioned());
+  if (call) suspicion_store_.OnSent(CallStore(std::move(*call), actions));
+}
+
+/// Whether no member of some zone is reachable.
+bool MeshNode::IsPartitioned() const {
+  std::set<std::string> reachable = {settings_.zone};
+  std::set<std::string> unreachable;
+  for (const auto& [id, member] : membership_.Others()) {
+    if (member.state == MemberState::kGone) continue;
+    bool lost = member.health == MemberHealth::kUnreachable;
+    (lost ? unreachable : reachable).insert(member.zone);
+  }
+  return !std::includes(reachable.begin(), reachable.end(), unreachable.begin(),
+                        unreachable.end());
+}
+
 void MeshNode::RefuseQueued(TimeMs now, Actions* actions) {
   BackendRunner::Actions runs;
   runner_.RefuseQueued(now, &runs);
@@ -447,6 +477,8 @@
       DispatchForwarder(now, std::move(requests), actions);
     } else if (auto* spread = std::get_if<SpreadCrashSuspicions>(&action)) {
       membership_.QueueCrashSuspicions(spread->suspicions);
+      if (spread->raised_here)
+        suspicion_store_.OnRaised(spread->suspicions.size());
     } else if (auto* start = std::get_if<StartRun>(&action)) {
       actions->push_back(std::move(*start));
     } else if (auto* cancel = std::get_if<CancelRunOnBackend>(&action)) {
@@ -529,8 +561,9 @@
 }
 
 std::vector<const Counters*> MeshNode::AllCounters() const {
-  return {&membership_.Counts(), &config_.Counts(), &forwarder_.Counts(),
-          &runner_.Counts(), &counters_};
+  return {&membership_.Counts(),      &config_.Counts(),
+          &forwarder_.Counts(),       &runner_.Counts(),
+          &suspicion_store_.Counts(), &counters_};
 }
 
 std::vector<const Histograms*> MeshNode::AllHistograms() const {
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -14,6 +14,7 @@
 #include "banyanloft/mesh/config_follower.h"
 #include "banyanloft/mesh/forwarder.h"
 #include "banyanloft/mesh/startup_buffer.h"
+#include "banyanloft/mesh/suspicion_store.h"
 #include "banyanloft/store/platform_message.h"
 
 namespace banyanloft {
@@ -54,6 +55,7 @@
   ConfigFollowerSettings config;
   ForwarderSettings forwarder;
   BackendRunnerSettings runner;
+  SuspicionStoreSettings suspicion_store;
 
   /// Sets drain_max_ms and limits the earlier steps of a planned stop so that
   /// they fit into it.
@@ -148,6 +150,8 @@
   void ReleaseBuffered(TimeMs now, Actions* actions);
   void RefuseExpired(TimeMs now, Actions* actions);
   bool IsWatcher(TimeMs now) const;
+  bool IsPartitioned() const;
+  void TickStoreClients(TimeMs now, bool watching, Actions* actions);
   uint64_t CallStore(PlatformCall call, Actions* actions);
   std::string LinkOf(MemberId id) const;
 
@@ -161,6 +165,7 @@
   ConfigFollower config_;
   Forwarder forwarder_;
   BackendRunner runner_;
+  SuspicionStore suspicion_store_;
   bool draining_ = false;
   bool exit_sent_ = false;
   bool queued_refused_ = false;
