Crash containment: waiting requests and ingress daemons heed new suspicions

A request that waited at a target while its third crash became known was started all the same, since only its arrival was checked; one that became a suspect while it waited ran beside other suspects. And an ingress daemon that knew that a request is refused everywhere still sent it on, to a target whose daemon might not know yet.

Suspicions that change now review the queue: requests refused by them are answered at once as not run, suspects become exclusive. The ingress daemon refuses a contained request itself, as not run only if no attempt may have run.

--- a/banyanloft/mesh/admission_controller.cc
+++ b/banyanloft/mesh/admission_controller.cc
@@ -196,6 +196,14 @@
   return false;
 }
 
+void AdmissionController::MakeExclusive(uint64_t id) {
+  for (std::deque<AdmissionRequest>& queue : waiting_) {
+    for (AdmissionRequest& work : queue) {
+      if (work.id == id) work.exclusive = true;
+    }
+  }
+}
+
 void AdmissionController::RefuseAll(ErrorKind reason, Decisions* decisions) {
   for (std::deque<AdmissionRequest>& queue : waiting_) {
     for (const AdmissionRequest& work : queue)
--- a/banyanloft/mesh/admission_controller.h
+++ b/banyanloft/mesh/admission_controller.h
@@ -102,6 +102,8 @@
   /// Removes queued work, so that it never starts. Returns false if it was not
   /// queued.
   bool Withdraw(uint64_t id);
+  /// Marks queued work as exclusive (see AdmissionRequest).
+  void MakeExclusive(uint64_t id);
   /// Refuses all queued work.
   void RefuseAll(ErrorKind reason, Decisions* decisions);
   /// Refuses expired work and starts queued work in free slots.
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -4,19 +4,11 @@
 
 #include <algorithm>
 #include <array>
-
-#include "banyanloft/core/digest.h"
+#include <set>
 
 namespace banyanloft {
 namespace {
 
-/// Identifies equal requests: those with the same path and body. The caller
-/// does not count, because a request may come again at an instance of any
-/// service.
-uint64_t FingerprintOf(const ForwardRequest& request) {
-  return FastHash(request.body, FastHash(request.target));
-}
-
 std::string HexOf(const std::vector<uint64_t>& fingerprints) {
   return fmt::format("{:016x}", fmt::join(fingerprints, ","));
 }
@@ -86,7 +78,7 @@
   work.from = ForwardOrigin{from_link, request.attempt};
   work.arrived = now;
   work.deadline = now + request.remaining_ms;
-  work.fingerprint = FingerprintOf(request);
+  work.fingerprint = RequestFingerprint(request.target, request.body);
   work.request = std::move(request);
   work_by_origin_[work.from] = id;
   if (std::optional<ErrorKind> error = CheckNew(now, work)) {
@@ -500,8 +492,9 @@
                  {"fingerprints", HexOf(fingerprints)}}});
   std::vector<CrashSuspicion> suspicions =
       crash_guard_.OnCrash(now, random_.Bits(), fingerprints);
-  if (!suspicions.empty())
-    actions->push_back(SpreadCrashSuspicions{std::move(suspicions), true});
+  if (suspicions.empty()) return;
+  ReviewQueue(now, suspicions, actions);
+  actions->push_back(SpreadCrashSuspicions{std::move(suspicions), true});
 }
 
 void BackendRunner::OnCrashSuspicions(
@@ -523,9 +516,32 @@
                  {"count", std::to_string(added.size())},
                  {"tracked", std::to_string(crash_guard_.Size())},
                  {"refused", HexOf(refused)}}});
+  ReviewQueue(now, added, actions);
   actions->push_back(SpreadCrashSuspicions{std::move(added), false});
 }
 
+/// Requests that wait are admitted by what was known when they arrived.
+void BackendRunner::ReviewQueue(TimeMs now,
+                                const std::vector<CrashSuspicion>& changed,
+                                Actions* actions) {
+  std::set<uint64_t> fingerprints;
+  for (const CrashSuspicion& suspicion : changed)
+    fingerprints.insert(suspicion.fingerprint);
+  std::vector<uint64_t> refused;
+  for (const auto& [id, work] : works_) {
+    if (work.running || fingerprints.count(work.fingerprint) == 0) continue;
+    CrashGuard::Verdict verdict = crash_guard_.Check(now, work.fingerprint);
+    if (verdict == CrashGuard::Verdict::kExclusive)
+      admission_.MakeExclusive(id);
+    bool refuse =
+        verdict == CrashGuard::Verdict::kRefuse && admission_.Withdraw(id);
+    if (refuse) refused.push_back(id);
+  }
+  for (uint64_t id : refused)
+    Refuse(now, id, ErrorKind::kCrashSuspect, settings_.crash_retry_after_ms, 0,
+           actions);
+}
+
 /// A request that crashed servers is run: tells what was known of it.
 void BackendRunner::LogSuspectStart(TimeMs now, const Work& work,
                                     Actions* actions) {
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -199,6 +199,8 @@
   void MarkInstanceUnreachable(TimeMs now, Actions* actions);
   void RecordLostRun(TimeMs now, RunResult::Type type, uint64_t fingerprint,
                      Actions* actions);
+  void ReviewQueue(TimeMs now, const std::vector<CrashSuspicion>& changed,
+                   Actions* actions);
   void OnNotice(TimeMs now, const BackendNotice& notice, const char* source,
                 Actions* actions);
   void ApplyLimit(TimeMs now, std::optional<double> per_s, const char* source,
--- a/banyanloft/mesh/forwarder.cc
+++ b/banyanloft/mesh/forwarder.cc
@@ -80,6 +80,11 @@
   int64_t left_ms = pending.deadline - now;
   if (left_ms <= 0) return Fail(now, id, ErrorKind::kTimeout, actions);
 
+  if (directory_->IsContained(now, pending.request)) {
+    if (!pending.open.empty()) return;
+    pending.retry_after_ms = settings_.contained_retry_ms;
+    return Fail(now, id, ErrorKind::kCrashSuspect, actions);
+  }
   std::vector<TargetCandidate> candidates =
       directory_->CandidatesOf(pending.service);
   TargetQuery query;
--- a/banyanloft/mesh/forwarder.h
+++ b/banyanloft/mesh/forwarder.h
@@ -48,6 +48,9 @@
   /// Mean Retry-After while no configuration is loaded, in ms; the value sent
   /// varies in the same way.
   int64_t not_ready_retry_ms = 500;
+  /// Retry-After of a request that is refused because it crashes backend
+  /// servers, in ms.
+  int64_t contained_retry_ms = 5000;
   size_t max_requests = 20000;  ///< Maximum requests in flight.
 };
 
@@ -58,6 +61,9 @@
   /// Members whose backend server runs the service and accepts requests.
   virtual std::vector<TargetCandidate> CandidatesOf(
       const std::string& service) const = 0;
+  /// Whether a request is refused by all targets, because it has crashed
+  /// several.
+  virtual bool IsContained(TimeMs now, const MeshRequest& request) const = 0;
 };
 
 /// Sends the final answer to a client.
--- a/banyanloft/mesh/mesh_message.h
+++ b/banyanloft/mesh/mesh_message.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "banyanloft/core/digest.h"
 #include "banyanloft/core/error.h"
 #include "banyanloft/http/http_message.h"
 
@@ -32,6 +33,14 @@
   std::string body;
 };
 
+/// Identifies equal requests: those with the same path and body. The caller
+/// does not count, because a request may come again at an instance of any
+/// service.
+inline uint64_t RequestFingerprint(const std::string& target,
+                                   const std::string& body) {
+  return FastHash(body, FastHash(target));
+}
+
 /// The answer to a client's request.
 struct MeshAnswer {
   /// Set if this system generated the answer rather than a backend server.
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -555,6 +555,13 @@
   return candidates;
 }
 
+bool MeshNode::IsContained(TimeMs now, const MeshRequest& request) const {
+  const CrashGuard& suspects = runner_.Suspects();
+  if (suspects.Size() == 0) return false;
+  uint64_t fingerprint = RequestFingerprint(request.target, request.body);
+  return suspects.Check(now, fingerprint) == CrashGuard::Verdict::kRefuse;
+}
+
 std::string MeshNode::LinkOf(MemberId id) const {
   const MemberRecord* member = membership_.Find(id);
   return member != nullptr ? member->link : "";
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -130,6 +130,7 @@
  private:
   std::vector<TargetCandidate> CandidatesOf(
       const std::string& service) const override;
+  bool IsContained(TimeMs now, const MeshRequest& request) const override;
 
   void DispatchForwarder(TimeMs now, Forwarder::Actions list, Actions* actions);
   void DispatchRunner(TimeMs now, BackendRunner::Actions list,
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -450,6 +450,39 @@
   LONGS_EQUAL(runs + 1, Count<StartRun>());
 }
 
+TEST(backend_runner, crashesBecomeKnownWhileRequestWaits_isRefusedAtOnce) {
+  Report(1);
+  Forward(TimeMs(0), 1, false, "harmless 1");
+  Forward(TimeMs(0), 2, false, "harmless 2");
+  Forward(TimeMs(0), 3, false, "poison");
+  CHECK(AnswerOf(3) == nullptr);
+  uint64_t fingerprint = RequestFingerprint("/x", "poison");
+  for (uint64_t crash = 1; crash <= 3; ++crash)
+    runner_->OnCrashSuspicions(TimeMs(10), "gossip",
+                               {{fingerprint, crash, false, 0}}, &actions_);
+  CHECK(AnswerOf(3) != nullptr);
+  CHECK(AnswerOf(3)->error == ErrorKind::kCrashSuspect);
+  CHECK(AnswerOf(3)->run_state == RunState::kNotRun);
+  End(0, RunResult::Type::kAnswered);
+  LONGS_EQUAL(2, Count<StartRun>());
+}
+
+TEST(backend_runner, requestsBecomeSuspectsWhileTheyWait_runOneAfterTheOther) {
+  Report(1);
+  for (uint64_t i = 1; i <= 4; ++i)
+    Forward(TimeMs(0), i, false, "request " + std::to_string(i));
+  LONGS_EQUAL(2, Count<StartRun>());
+  for (const char* body : {"request 3", "request 4"})
+    runner_->OnCrashSuspicions(TimeMs(10), "gossip",
+                               {{RequestFingerprint("/x", body), 1, false, 0}},
+                               &actions_);
+  End(0, RunResult::Type::kAnswered);
+  End(1, RunResult::Type::kAnswered);
+  LONGS_EQUAL(3, Count<StartRun>());
+  End(2, RunResult::Type::kAnswered);
+  LONGS_EQUAL(4, Count<StartRun>());
+}
+
 TEST(backend_runner, serverFallsSilentAndRestarts_unansweredRunsAreSuspects) {
   Report(1);
   Forward(TimeMs(0), 1, false, "timed out");
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -14,6 +14,10 @@
   std::vector<TargetCandidate> CandidatesOf(const std::string&) const override {
     return candidates;
   }
+  bool IsContained(TimeMs, const MeshRequest&) const override {
+    return contained;
+  }
+  bool contained = false;
 };
 
 RouteTablePtr Table() {
@@ -107,6 +111,24 @@
   LONGS_EQUAL(before, actions_.size());
 }
 
+TEST(forwarder, requestIsContained_isRefusedWithoutAnAttempt) {
+  directory_.contained = true;
+  Request(TimeMs(0), "/once/1");
+  CHECK(Sent(0) == nullptr);
+  CHECK(Answered()->error == ErrorKind::kCrashSuspect);
+  CHECK(Answered()->run_state == RunState::kNotRun);
+}
+
+TEST(forwarder, requestIsContainedAfterItBroke_isNotRetriedNorCalledNotRun) {
+  Request(TimeMs(0), "/safe/1");
+  directory_.contained = true;
+  ForwardAnswer broken = RefusalTo(0, ErrorKind::kBackendBroken);
+  broken.run_state = RunState::kUnknown;
+  forwarder_->OnAnswer(TimeMs(10), broken, &actions_);
+  CHECK(Sent(1) == nullptr);
+  CHECK(Answered()->run_state == RunState::kUnknown);
+}
+
 /// On a planned stop, attempts queued at a target are cancelled and their
 /// requests refused; running attempts are awaited.
 TEST(forwarder, plannedStop_queuedRequest_isRefusedAsNotRun) {
