Store lists: one odd entry neither ends the daemon nor hides the other entries

Operators of similar systems reported daemons that ended again and again after another writer had left a deeply nested entry in a list that all daemons read. It can happen here: writing such a value out again recurses, and the stack ran out (a list with an entry nested 450,000 deep ends the process; every daemon reads it, also after a restart). An entry with a number out of range or a lone surrogate ended nothing, but made the whole list unreadable, so that no daemon could discover others while it stood; an event whose "deleted" is no boolean threw.

JSON is now parsed with a bound on its nesting, as CBOR was, by one function for both. Lists of the store are split into the texts of their entries first, each is parsed by itself, and those that cannot be read are skipped, counted and logged (store_objects_malformed).

platform_protocol/storeListHasAnOddEntry_othersAreRead ended with a segmentation fault before; storeListIsCutOffAnywhere covers the splitting.

--- a/banyanloft/config/json.h
+++ b/banyanloft/config/json.h
@@ -1,19 +1,37 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace banyanloft {
 
 using Json = nlohmann::json;
 
-/// Parses JSON text; returns a discarded value if it is malformed. Does not
-/// throw.
-inline Json ParseJson(const std::string& text) {
-  return Json::parse(text, nullptr, false);
-}
+/// Deepest nesting of JSON text that is accepted; configurations need less than
+/// ten levels.
+inline constexpr int kMaxJsonNesting = 64;
+
+/// Parses text or bytes; returns a discarded value if they are malformed or
+/// nest deeper than `max_nesting`. Does not throw.
+Json ParseBounded(std::string_view bytes, Json::input_format_t format,
+                  int max_nesting);
+/// Parses JSON text; returns a discarded value if it is malformed or nests
+/// deeper than kMaxJsonNesting. Does not throw.
+Json ParseJson(std::string_view text);
+/// Splits the text of a JSON object, or of an array, into the texts of its
+/// values, so that one that cannot be parsed does not affect the others. The
+/// values are views of `text` and may be malformed. Empty if the text is not
+/// an object or array.
+std::optional<std::map<std::string, std::string_view>> SplitJsonObject(
+    std::string_view text);
+std::optional<std::vector<std::string_view>> SplitJsonArray(
+    std::string_view text);
 
 /// Typed access to the fields of a JSON object. The first field that is missing
 /// or has the wrong type is kept as the error; such reads return a default.
--- a/banyanloft/daemon/metrics_page.cc
+++ b/banyanloft/daemon/metrics_page.cc
@@ -48,6 +48,8 @@
       {"crash_suspicions_learned_total", "source",
        "Suspicions of crashing a backend server that came by gossip or from "
        "the store"},
+      {"store_objects_malformed_total", "",
+       "Objects read from the store that were malformed and skipped"},
       {"suspicion_store_reads_total", "",
        "Reads of the stored crash suspicions"},
       {"suspicion_store_writes_total", "",
--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -91,6 +91,9 @@
      "restart"},
     {"store_generation_malformed",
      "a reply of the store names a generation that is no number; its text"},
+    {"store_objects_malformed",
+     "objects read from the store were skipped, as another program wrote them "
+     "malformed; numbers skipped and read"},
     {"store_restored",
      "the store came back from an older copy; its revision and the one known"},
     {"store_lost", "calls to the store are failing; reason"},
--- a/banyanloft/links/cbor.cc
+++ b/banyanloft/links/cbor.cc
@@ -4,42 +4,11 @@
 namespace {
 
 constexpr int kMaxNesting = 6;
-/// Passed to the library in place of the sizes announced by the input: it
-/// throws an exception if a size is excessive.
-constexpr std::size_t kUnknownSize = static_cast<std::size_t>(-1);
-
-/// Builds the value, but rejects nesting deeper than that of any message, so
-/// that malicious input cannot exhaust the stack.
-class BoundedBuilder : public nlohmann::detail::json_sax_dom_parser<Json> {
-  using Base = nlohmann::detail::json_sax_dom_parser<Json>;
-
- public:
-  explicit BoundedBuilder(Json& value) : Base(value, false) {}
-
-  // Names and signatures are defined by the library.
-  // NOLINTBEGIN(readability-identifier-naming)
-  bool start_array(std::size_t) {
-    return ++depth_ <= kMaxNesting && Base::start_array(kUnknownSize);
-  }
-  bool end_array() { return --depth_, Base::end_array(); }
-  bool start_object(std::size_t) {
-    return ++depth_ <= kMaxNesting && Base::start_object(kUnknownSize);
-  }
-  bool end_object() { return --depth_, Base::end_object(); }
-  // NOLINTEND(readability-identifier-naming)
-
- private:
-  int depth_ = 0;
-};
 
 }  // namespace
 
 Json FromCbor(std::string_view bytes) {
-  Json value;
-  BoundedBuilder builder(value);
-  bool ok = Json::sax_parse(bytes.begin(), bytes.end(), &builder,
-                            Json::input_format_t::cbor);
-  return ok ? value : Json(Json::value_t::discarded);
+  return ParseBounded(bytes, Json::input_format_t::cbor, kMaxNesting);
 }
 
 std::string ToCbor(const Json& value) {
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -242,6 +242,14 @@
 
 void MeshNode::OnStore(TimeMs now, const PlatformReply& reply,
                        Actions* actions) {
+  if (reply.malformed_objects > 0) {
+    counters_.Add("store_objects_malformed_total", "", reply.malformed_objects);
+    actions->push_back(
+        LogRecord{LogLevel::kWarning,
+                  "store_objects_malformed",
+                  {{"skipped", std::to_string(reply.malformed_objects)},
+                   {"read", std::to_string(reply.objects.size())}}});
+  }
   if (rendezvous_client_.IsPending(reply)) {
     if (reply.error) counters_.Add("rendezvous_failures_total");
     std::optional<PlatformCall> write = rendezvous_client_.OnReply(
--- a/banyanloft/store/platform_message.h
+++ b/banyanloft/store/platform_message.h
@@ -44,6 +44,8 @@
   /// revisions go back; 0 if unknown. Also set with an error that the store
   /// itself answered.
   uint64_t generation = 0;
+  /// With kList: objects that could not be read and were skipped.
+  size_t malformed_objects = 0;
   /// Text of a generation that is no number, for the log.
   std::string malformed_generation;
 };
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -1,6 +1,7 @@
 #include "platform/platform_protocol.h"
 
 #include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 #include "banyanloft/core/random.h"
@@ -360,6 +361,63 @@
   CHECK(ReadStoreOutcome(list, OutcomeWith(200, "{}")).error.has_value());
 }
 
+/// One entry of another writer must neither end the process nor hide the other
+/// entries.
+TEST(platform_protocol, storeListHasAnOddEntry_othersAreRead) {
+  constexpr size_t kNesting = 450000;
+  const std::string kOddSpecs[] = {
+      std::string(kNesting, '[') + std::string(kNesting, ']'),
+      R"({"gossip":)" + std::string(kNesting, '[') +
+          std::string(kNesting, ']') + "}",
+      R"({"members":1e999})",
+      R"({"zone":"\ud800"})",
+      "\"\xff\"",
+      "[1,]"};
+  for (const std::string& odd : kOddSpecs) {
+    auto object = [](const char* name, const std::string& spec) {
+      return fmt::format(
+          R"({{"metadata":{{"name":"{}","revision":5}},"spec":{}}})", name,
+          spec);
+    };
+    std::string good = object("b", R"({"text":"\",[}{]:"})");
+    PlatformCall list;
+    list.type = PlatformCall::Type::kList;
+    list.key = "rendezvous/";
+    std::string items =
+        fmt::format(R"({{"items":[{},{},{}], "more":false,"current_rev":9}})",
+                    object("a", "{}"), object("odd", odd), good);
+    PlatformReply reply = ReadStoreOutcome(list, OutcomeWith(200, items));
+    CHECK(!reply.error);
+    LONGS_EQUAL(2, reply.objects.size());
+    LONGS_EQUAL(1, reply.malformed_objects);
+    STRCMP_EQUAL(R"({"text":"\",[}{]:"})", reply.objects[1].value.c_str());
+    LONGS_EQUAL(9, reply.revision);
+
+    list.watch_after = 5;
+    std::string events = fmt::format(
+        R"({{"events":[{{"object":{}}},{{"deleted":"x","object":{}}},)"
+        R"({{"object":{}}}],"current_rev":9}})",
+        object("odd", odd), good, good);
+    reply = ReadStoreOutcome(list, OutcomeWith(200, events));
+    CHECK(!reply.error);
+    LONGS_EQUAL(2, reply.objects.size());
+  }
+}
+
+TEST(platform_protocol, storeListIsCutOffAnywhere_isRejected) {
+  const std::string body =
+      R"({"items":[{"metadata":{"name":"a","revision":5}}],"current_rev":9})";
+  PlatformCall list;
+  list.type = PlatformCall::Type::kList;
+  list.key = "rendezvous/";
+  for (size_t size = 0; size < body.size(); ++size) {
+    PlatformReply reply =
+        ReadStoreOutcome(list, OutcomeWith(200, body.substr(0, size)));
+    CHECK(reply.error.has_value());
+  }
+  CHECK(!ReadStoreOutcome(list, OutcomeWith(200, body)).error);
+}
+
 TEST(platform_protocol, storeReplies_nameTheStoresGeneration) {
   PlatformCall list;
   list.type = PlatformCall::Type::kList;
