--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -181,6 +181,26 @@
   }
 }
 
+TEST(platform_protocol, heartbeat_numberOutOfRange_isRejected) {
+  const char* kFields[] = {R"("slots":0)",
+                           R"("slots":-1)",
+                           R"("slots":4294967314)",
+                           R"("slots":18,"sequence":18446744073709551615)",
+                           R"("slots":18,"born":18446744073709551615)",
+                           R"("slots":18,"cold_remaining_s":1e300)",
+                           R"("slots":18,"cold_remaining_s":-1e300)",
+                           R"("slots":18,"cold_remaining_s":1e999)"};
+  for (const char* field : kFields) {
+    std::string body = fmt::format(
+        R"({{"service":"s","address":"a","state":"ready","sequence":1,{}}})",
+        field);
+    CHECK_TEXT(ErrorOf(ReadHeartbeat("i-1", body)) != nullptr, field);
+  }
+  std::string nested = std::string(200000, '[') + std::string(200000, ']');
+  CHECK(ErrorOf(ReadHeartbeat("i-1", R"({"slots":)" + nested + "}")) !=
+        nullptr);
+}
+
 TEST(platform_protocol, heartbeat_valid_isDecoded) {
   Result<InstanceReport> read = ReadHeartbeat(
       "i-1",
