Rendezvous: an entry's addresses are bounded

An entry of another writer may hold a megabyte of addresses, and each watcher would have sent a datagram to each of them after every read. No more are read of an entry than a daemon itself writes.

rendezvous_entries/entryWithManyAddresses failed before.

--- a/banyanloft/membership/rendezvous.cc
+++ b/banyanloft/membership/rendezvous.cc
@@ -11,12 +11,14 @@
   return std::find(list.begin(), list.end(), item) != list.end();
 }
 
-std::vector<std::string> AddressesOf(const Json& json) {
+/// At most `max_addresses`: any program may have written the entry.
+std::vector<std::string> AddressesOf(const Json& json, size_t max_addresses) {
   std::vector<std::string> out;
   JsonReader fields(json);
   const Json* list = fields.Find("gossip");
   if (list == nullptr || !list->is_array()) return out;
   for (const Json& item : *list) {
+    if (out.size() >= max_addresses) break;
     if (item.is_string()) out.push_back(item.get<std::string>());
   }
   return out;
@@ -69,7 +71,7 @@
   stored_load_ = max_load_ = StartupLoad{};
   for (const Entry& entry : entries) {
     Json json = ParseJson(entry.value);
-    std::vector<std::string> addresses = AddressesOf(json);
+    std::vector<std::string> addresses = AddressesOf(json, settings_.addresses);
     StartupLoad load = LoadOf(json);
     max_load_.members = std::max(max_load_.members, load.members);
     max_load_.document_bytes =
--- a/tests/thundering_herd_test.cc
+++ b/tests/thundering_herd_test.cc
@@ -220,3 +220,17 @@
   CHECK(!buffer.Remove(1).has_value());
   CHECK(!buffer.Add(TimeMs(settings.window_ms), 3, &second));
 }
+
+TEST_GROUP(rendezvous_entries){};
+
+/// An entry of another writer with thousands of addresses would make every
+/// watcher send as many datagrams after each read.
+TEST(rendezvous_entries, entryWithManyAddresses_fewAreContacted) {
+  RendezvousSettings settings;
+  Rendezvous rendezvous(settings, "z1", "10.0.0.1:1", 1, TimeMs(0));
+  std::string addresses;
+  for (int i = 0; i < 10000; ++i)
+    addresses += "\"10.0.0.2:" + std::to_string(i) + "\",";
+  std::string value = "{\"gossip\":[" + addresses + "7]}";
+  CHECK(rendezvous.OnRead({{"z2", 3, value}}).size() <= settings.addresses);
+}
