Backend client: a response that names no request ends its connection

A faulty server that wrote an earlier refusal once more on a kept connection had it taken for the response to the next request: that request was reported as not run, and sent to a second server, while the first one ran it. Refusals bear no request id, so nothing in them tells to which request they belong; but a connection that has carried one can be closed, and then the only refusal on it is the one that was awaited. This covers 421, health checks, which are refused in the same way, and any other response without an id. Responses with an id keep their connection, as before; those of another request were skipped already.

--- a/banyanloft/http/http_client.cc
+++ b/banyanloft/http/http_client.cc
@@ -240,8 +240,10 @@
                                             std::string(field.value()));
     }
     outcome.response.body = std::move(message.body());
-    if (job_->matcher && !job_->matcher(outcome.response)) {
-      desynchronized_ = true;
+    ResponseMatch match = job_->matcher ? job_->matcher(outcome.response)
+                                        : ResponseMatch::kMatches;
+    if (match != ResponseMatch::kMatches) desynchronized_ = true;
+    if (match == ResponseMatch::kOther) {
       if (delimited_by_close) return Finish(HttpFailure::kBroken);
       return SkipResponse();
     }
@@ -305,8 +307,9 @@
   size_t buffered_bytes_ = 0;
   int skipped_ = 0;       ///< Responses skipped before the awaited one.
   bool written_ = false;  ///< The whole request was written to the socket.
-  bool desynchronized_ =
-      false;  ///< Carried a response that belongs to no request.
+  /// Carried a response that belongs to no request, or may be sent again
+  /// unnoticed.
+  bool desynchronized_ = false;
   bool cancelled_ = false;
 };
 
--- a/banyanloft/http/http_client.h
+++ b/banyanloft/http/http_client.h
@@ -41,6 +41,15 @@
   kCancelled,  ///< Cancelled; the connection is closed.
 };
 
+/// Whether a response belongs to the request that awaits one.
+enum class ResponseMatch : uint8_t {
+  kMatches,
+  kOther,  ///< It is skipped, and its connection is not reused.
+  /// It names no request. It is delivered, and its connection is not reused: if
+  /// the server sent it again, it would be taken for the next response.
+  kUnidentified,
+};
+
 /// Outcome of a request: a response or the reason for its absence.
 struct HttpOutcome {
   std::optional<HttpFailure> failure;
@@ -52,9 +61,8 @@
 class HttpClient {
  public:
   using Callback = std::function<void(HttpOutcome)>;
-  /// Whether a response belongs to the request. One that does not is skipped,
-  /// and its connection is not reused.
-  using ResponseMatcher = std::function<bool(const HttpResponse&)>;
+  /// Tells whether a response belongs to the request.
+  using ResponseMatcher = std::function<ResponseMatch(const HttpResponse&)>;
 
   HttpClient(boost::asio::io_context& io, const HttpClientSettings& settings);
   ~HttpClient();
--- a/banyanloft/mesh/backend_client.cc
+++ b/banyanloft/mesh/backend_client.cc
@@ -66,7 +66,7 @@
   };
   auto belongs = [this,
                   id = start.request.request_id](const HttpResponse& answer) {
-    return protocol_->ResponseMatches(answer, id);
+    return protocol_->MatchResponse(answer, id);
   };
   client_.Send(run, protocol_->WriteRunRequest(start), start.remaining_ms,
                ended, belongs);
@@ -97,7 +97,8 @@
         result.up =
             !outcome.failure || *outcome.failure == HttpFailure::kTimeout;
         boost::asio::post(io_, [this, result] { listener_->OnProbed(result); });
-      });
+      },
+      [](const HttpResponse&) { return ResponseMatch::kUnidentified; });
 }
 
 }  // namespace banyanloft
--- a/banyanloft/mesh/protocol_adapter.h
+++ b/banyanloft/mesh/protocol_adapter.h
@@ -34,8 +34,8 @@
   /// Formats the HTTP request that runs a request on the backend server.
   virtual HttpRequest WriteRunRequest(const StartRun& run) const = 0;
   /// Whether a response belongs to the request with this id.
-  virtual bool ResponseMatches(const HttpResponse& answer,
-                               const std::string& request_id) const = 0;
+  virtual ResponseMatch MatchResponse(const HttpResponse& answer,
+                                      const std::string& request_id) const = 0;
   /// Classifies the backend server's response to a run.
   virtual RunResult ReadRunResponse(HttpResponse answer) const = 0;
 
--- a/tests/http_endless_response_test.cc
+++ b/tests/http_endless_response_test.cc
@@ -148,7 +148,10 @@
     client_->Send(
         id, request, timeout_ms,
         [this, id](HttpOutcome outcome) { outcomes_[id] = std::move(outcome); },
-        [](const HttpResponse& response) { return response.body != "others"; });
+        [](const HttpResponse& response) {
+          return response.body == "others" ? ResponseMatch::kOther
+                                           : ResponseMatch::kMatches;
+        });
   }
   /// Runs until `count` requests have ended.
   void RunUntilEnded(size_t count) {
