Tests: responses cut inside their head, with and without a length

Other operators saw clients get a 200 with an empty or short body after a server had closed in the middle of its head. It does not happen here: every cut of five heads (with a length, chunked, without a length, HTTP/1.0, without a body), on a new and on a kept connection, ends as broken, and so does a body without a length whose connection is reset. No code is changed.

--- a/tests/faulty_backend_test.cc
+++ b/tests/faulty_backend_test.cc
@@ -34,6 +34,7 @@
 struct Script {
   std::string bytes;
   bool close = false;
+  bool reset = false;  ///< The connection is reset rather than closed.
 };
 
 /// Server on the test's event loop that answers with scripted bytes.
@@ -81,11 +82,20 @@
   }
   void Write(const ConnectionPtr& connection, Script script) {
     connection->output = std::move(script.bytes);
-    asio::async_write(connection->socket, asio::buffer(connection->output),
-                      [this, connection, close = script.close](
-                          boost::system::error_code error, size_t) {
-                        if (!error && !close) Read(connection);
-                      });
+    asio::async_write(
+        connection->socket, asio::buffer(connection->output),
+        [this, connection, close = script.close, reset = script.reset](
+            boost::system::error_code error, size_t) {
+          if (reset) Reset(&connection->socket);
+          if (!error && !close) Read(connection);
+        });
+  }
+
+  /// A socket that is closed without lingering is reset; its destructor would
+  /// let it linger.
+  static void Reset(Tcp::socket* socket) {
+    socket->set_option(asio::socket_base::linger(true, 0));
+    socket->close();
   }
 
   Responder responder_;
@@ -199,3 +209,57 @@
   for (const char* id : {"r-1", "r-2", "r-3"}) Run(id);
   LONGS_EQUAL(1, server_->Connections());
 }
+
+/// A response that ends inside its head must not be delivered as an empty one.
+TEST(faulty_backend, responseCutInsideItsHead_isBroken) {
+  const std::string kHeads[] = {
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: r-1\r\nX-Response-Signature: s\r\n"
+      "Content-Length: 5\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: r-1\r\nX-Response-Signature: s\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: r-1\r\nX-Response-Signature: s\r\n"
+      "Connection: close\r\n\r\n",
+      "HTTP/1.0 200 OK\r\nX-Attempt-Id: r-1\r\nX-Response-Signature: s\r\n"
+      "\r\n",
+      "HTTP/1.1 204 No Content\r\nX-Attempt-Id: r-1\r\n"
+      "X-Response-Signature: s\r\n\r\n"};
+  for (const std::string& head : kHeads) {
+    for (size_t size = 0; size < head.size(); ++size) {
+      Serve([&](const std::string&, int) {
+        return Script{head.substr(0, size), true};
+      });
+      RunResult result = Run("r-1");
+      bool broken = result.type == RunResult::Type::kBroken;
+      CHECK_TEXT(broken, head.substr(0, size).c_str());
+    }
+  }
+}
+
+TEST(faulty_backend, responseCutInsideItsHeadOnKeptConnection_isBroken) {
+  const std::string whole = ResponseTo("r-2");
+  const size_t head_size = whole.find("\r\n\r\n") + 4;
+  for (size_t size = 0; size < head_size; ++size) {
+    Serve([&](const std::string& head, int) {
+      if (IdIn(head) == "r-1") return Script{ResponseTo("r-1")};
+      return Script{whole.substr(0, size), true};
+    });
+    CHECK(Run("r-1").type == RunResult::Type::kAnswered);
+    CHECK(Run("r-2").type == RunResult::Type::kBroken);
+  }
+}
+
+/// Without a length a response ends with its connection; one that is reset is
+/// not complete.
+TEST(faulty_backend, responseWithoutLength_isCompleteOnlyIfClosedInOrder) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: r-1\r\nX-Response-Signature: s\r\n\r\n";
+  for (bool reset : {false, true}) {
+    Serve([&](const std::string&, int) {
+      return Script{head + "whole", true, reset};
+    });
+    RunResult result = Run("r-1");
+    CHECK(result.type ==
+          (reset ? RunResult::Type::kBroken : RunResult::Type::kAnswered));
+    STRCMP_EQUAL(reset ? "" : "whole", result.response.body.c_str());
+  }
+}
