Soak: a request that crashes servers, and all daemons killed at once

A fifth of the unplanned seeds now sends a request that crashes each backend server that runs it, again every 1.2 s at any daemon for 18 s, and kills all daemons up to twice meanwhile. More than three runs later than 3 s after the third crash fail the seed; runs sent by daemons that have just restarted count too, which is stricter than required. Plans of earlier seeds keep their faults.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -17,11 +17,13 @@
 constexpr uint64_t kMaxSteps = 4;
 constexpr uint64_t kMaxSeriesLength = 4;
 constexpr int64_t kSeriesGapMs = 700;
-/// The last two kinds are drawn apart from the others, so that the plans of
+/// The last four kinds are drawn apart from the others, so that the plans of
 /// earlier seeds stay as they are except for them.
-constexpr uint64_t kDrawnKinds = kFaultKinds - 2;
+constexpr uint64_t kDrawnKinds = kFaultKinds - 4;
 constexpr int kRestorePermille = 300;
 constexpr int kLimitPermille = 400;
+constexpr int kCrashingPermille = 200;
+constexpr int kKillAllPermille = 600;
 
 constexpr std::array<FaultKind, 5> kPlannedKinds = {
     FaultKind::kStopDaemon, FaultKind::kReloadDaemon, FaultKind::kDrainBackend,
@@ -54,7 +56,9 @@
       "drain_backend",
       "change_config",
       "limit_backend",
-      "store_restored"};
+      "store_restored",
+      "crashing_request",
+      "kill_all_daemons"};
   return kNames[static_cast<size_t>(kind)];
 }
 
@@ -119,6 +123,17 @@
                   random.Below(static_cast<uint64_t>(settings.span_ms))),
               FaultKind::kRestoreStore);
   }
+  if (!plan.planned_only && random.ChancePermille(kCrashingPermille)) {
+    add_fault(static_cast<int64_t>(random.Below(kSeriesGapMs)),
+              FaultKind::kCrashingRequest);
+    plan.faults.back().duration_ms = settings.crashing_duration_ms;
+    for (int64_t at_ms = settings.kill_all_interval_ms;
+         at_ms < settings.crashing_duration_ms;
+         at_ms += settings.kill_all_interval_ms) {
+      if (random.ChancePermille(kKillAllPermille))
+        add_fault(at_ms, FaultKind::kKillAllDaemons);
+    }
+  }
   std::stable_sort(
       plan.faults.begin(), plan.faults.end(),
       [](const Fault& a, const Fault& b) { return a.start_ms < b.start_ms; });
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -29,9 +29,13 @@
   kChangeConfig,   ///< Writes a new version of the configuration.
   kLimitBackend,   ///< It names a limit of its request rate.
   kRestoreStore,   ///< It is down and returns from an older copy.
+  /// A request crashes each backend server that runs it, and is sent again at
+  /// any daemon for `duration_ms`.
+  kCrashingRequest,
+  kKillAllDaemons,  ///< SIGKILL to all; restarted after `duration_ms`.
 };
 inline constexpr size_t kFaultKinds =
-    static_cast<size_t>(FaultKind::kRestoreStore) + 1;
+    static_cast<size_t>(FaultKind::kKillAllDaemons) + 1;
 
 /// Name of a kind in reports.
 const char* NameOf(FaultKind kind);
@@ -67,6 +71,10 @@
   /// Duration of kLimitBackend, in ms: its limit binds after 3 s and is checked
   /// over 4 s.
   int64_t limit_duration_ms = 9000;
+  /// Duration of kCrashingRequest, in ms, and interval of the times at which
+  /// all daemons are killed meanwhile.
+  int64_t crashing_duration_ms = 18000;
+  int64_t kill_all_interval_ms = 6000;
 };
 
 /// The faults of one seed.
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -42,6 +42,16 @@
 /// share of the load.
 constexpr double kBackendLimitPerSecond = 5;
 
+constexpr int64_t kCrashingRequestIntervalMs = 1200;
+constexpr int64_t kCrashDelayMs = 5;
+constexpr int64_t kCrashedAwayMs = 2500;
+/// Crashes by one request after which it must be contained, and runs that are
+/// allowed later than kStabilityMs after them. Bounds given by the
+/// requirements.
+constexpr int kCrashesToContain = 3;
+constexpr int kLateRunsAllowed = 3;
+constexpr char kCrashingId[] = "crashing-";
+
 std::string NewRoute(int version) { return fmt::format("/new-{}/", version); }
 
 /// Every version adds one route to those of the version before.
@@ -274,6 +284,8 @@
 
 void Soak::OnRequestStarted(const MeshBackend& backend, const std::string& id,
                             const HttpRequest& request) {
+  if (id.rfind(kCrashingId, 0) == 0)
+    return OnCrashingRequest(backend.Settings().id);
   Arrival arrival;
   arrival.service = backend.Settings().service;
   arrival.caller = HeaderOf(request.headers, wire::header::kCaller);
@@ -311,6 +323,13 @@
     case FaultKind::kCrashBackend:
     case FaultKind::kDrainBackend:
       return InjectBackendFault(fault, instance);
+    case FaultKind::kCrashingRequest:
+      crashing_until_ = SteadyClock().Now() + fault.duration_ms;
+      faults_end_ = std::max(faults_end_, crashing_until_);
+      return SendCrashingRequests();
+    case FaultKind::kKillAllDaemons:
+      for (auto& each : instances_) KillDaemon(fault, each.get());
+      return;
     case FaultKind::kChangeConfig:
       return ChangeConfiguration();
     case FaultKind::kRestoreStore:
@@ -322,6 +341,7 @@
 
 void Soak::InjectDaemonFault(const Fault& fault, Instance* instance) {
   if (!instance->Daemon()->Running()) return;
+  if (fault.kind == FaultKind::kKillDaemon) return KillDaemon(fault, instance);
   MarkDisturbed(instance, fault.duration_ms);
   switch (fault.kind) {
     case FaultKind::kReloadDaemon:
@@ -341,16 +361,21 @@
       instance->stop_requested_at = SteadyClock().Now();
       return;
     default:
-      instance->stop_requested = true;
-      instance->stop_requested_at = SteadyClock().Now();
-      instance->Daemon()->Signal(SIGKILL);
-      RunAfter(fault.duration_ms, [this, instance] {
-        if (!stopping_ && !instance->Daemon()->Running())
-          instance->StartDaemon();
-      });
+      return;
   }
 }
 
+void Soak::KillDaemon(const Fault& fault, Instance* instance) {
+  if (!instance->Daemon()->Running()) return;
+  MarkDisturbed(instance, fault.duration_ms);
+  instance->stop_requested = true;
+  instance->stop_requested_at = SteadyClock().Now();
+  instance->Daemon()->Signal(SIGKILL);
+  RunAfter(fault.duration_ms, [this, instance] {
+    if (!stopping_ && !instance->Daemon()->Running()) instance->StartDaemon();
+  });
+}
+
 void Soak::InjectConnectionFault(const Fault& fault, Instance* instance) {
   MarkDisturbed(instance, fault.duration_ms);
   ++instance->connection_faults;
@@ -396,13 +421,54 @@
     if (backend == nullptr) return;
     if (backend->LateRequests() > 0)
       history_.AddViolation("request_after_drain", backend->Settings().id);
-    instance->DestroyBackend();
-    RunAfter(away_ms, [this, instance] {
-      bool stopped = instance->Backend() == nullptr;
-      if (stopped && !instance->StartBackend(random_.Bits()))
-        history_.AddViolation("backend_address_taken",
-                              std::to_string(instance->Settings().index));
-    });
+    CrashBackend(instance, away_ms);
+  });
+}
+
+/// Closes the sockets of the backend server; another starts after `away_ms`.
+void Soak::CrashBackend(Instance* instance, int64_t away_ms) {
+  instance->DestroyBackend();
+  RunAfter(away_ms, [this, instance] {
+    bool stopped = instance->Backend() == nullptr;
+    if (stopped && !instance->StartBackend(random_.Bits()))
+      history_.AddViolation("backend_address_taken",
+                            std::to_string(instance->Settings().index));
+  });
+}
+
+/// Sends the request that crashes backend servers at any daemon, again and
+/// again, as a client does that got no answer.
+void Soak::SendCrashingRequests() {
+  TimeMs now = SteadyClock().Now();
+  if (!load_running_ || now >= crashing_until_) return;
+  Instance& instance = *instances_[random_.Below(instances_.size())];
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/lookup/crashing";
+  request.headers = {
+      {"Host", kMeshHost},
+      {wire::header::kRequestId,
+       fmt::format("{}{}", kCrashingId, next_request_++)},
+      {wire::header::kDeadlineMs, std::to_string(kClientTimeoutMs)}};
+  instance.Client()->Send(next_request_, std::move(request), kClientTimeoutMs,
+                          [](const HttpOutcome&) {});
+  RunAfter(kCrashingRequestIntervalMs, [this] { SendCrashingRequests(); });
+}
+
+void Soak::OnCrashingRequest(const std::string& backend) {
+  TimeMs now = SteadyClock().Now();
+  ++crashing_runs_;
+  if (crashing_runs_ == kCrashesToContain) contained_from_ = now + kStabilityMs;
+  bool late = crashing_runs_ > kCrashesToContain && now > contained_from_;
+  if (late && ++late_crashing_runs_ > kLateRunsAllowed)
+    history_.AddViolation("crashing_request_not_contained", backend);
+  RunAfter(kCrashDelayMs, [this, backend] {
+    for (auto& instance : instances_) {
+      MeshBackend* running = instance->Backend();
+      if (running == nullptr || running->Settings().id != backend) continue;
+      MarkDisturbed(instance.get(), kCrashedAwayMs);
+      CrashBackend(instance.get(), kCrashedAwayMs);
+    }
   });
 }
 
@@ -463,10 +529,14 @@
                           violation.example);
   fmt::print(
       "seed {} {} daemons={}{} faults={} asked={} served={} "
-      "recovered_ms={}{}\n",
+      "recovered_ms={}{}{}\n",
       settings_.seed, violations.empty() ? "ok" : "FAIL", settings_.daemons,
       plan_.planned_only ? " planned" : "", plan_.Summary(),
-      history_.SentCount(), history_.ServedCount(), recovery_ms_, detail);
+      history_.SentCount(), history_.ServedCount(), recovery_ms_,
+      crashing_runs_ > 0 ? fmt::format(" crashing_runs={} late={}",
+                                       crashing_runs_, late_crashing_runs_)
+                         : "",
+      detail);
   return violations.empty();
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -50,11 +50,15 @@
   void SendRequest();
   void InjectFault(const Fault& fault);
   void InjectDaemonFault(const Fault& fault, Instance* instance);
+  void KillDaemon(const Fault& fault, Instance* instance);
   void InjectConnectionFault(const Fault& fault, Instance* instance);
   void InjectStoreFault(const Fault& fault);
   void InjectBackendFault(const Fault& fault, Instance* instance);
   void RestoreStore(const Fault& fault);
   void LimitBackend(const Fault& fault, Instance* instance);
+  void SendCrashingRequests();
+  void OnCrashingRequest(const std::string& backend);
+  void CrashBackend(Instance* instance, int64_t away_ms);
   void ChangeConfiguration();
   void MarkDisturbed(Instance* instance, int64_t duration_ms);
   bool IsStable(const Instance& instance, TimeMs now) const;
@@ -84,6 +88,11 @@
   bool finished_ = false;
   TimeMs stop_at_;
   int64_t recovery_ms_ = -1;
+  /// Runs of the request that crashes backend servers.
+  int crashing_runs_ = 0;
+  int late_crashing_runs_ = 0;
+  TimeMs contained_from_;  ///< When no more than a few runs are allowed.
+  TimeMs crashing_until_;
 };
 
 }  // namespace banyanloft::soak
