--- a/tests/mesh_routing_test.cc
+++ b/tests/mesh_routing_test.cc
@@ -116,6 +116,24 @@
   CHECK(budget.Take(TimeMs(20000), "s", 1000));
 }
 
+/// Each process on an instance would spend the instance's part of the slack
+/// again.
+TEST(retry_budget, daemonsRestartRepeatedly_slackIsNotSpentAgain) {
+  RetryBudgetSettings settings;
+  constexpr int kRestarts = 4;
+  constexpr size_t kDaemons = 12;
+  int64_t taken = 0;
+  for (int start = 0; start <= kRestarts; ++start) {
+    for (size_t i = 0; i < kDaemons; ++i) {
+      RetryBudget daemon(settings);
+      daemon.SetMembers(kDaemons);
+      while (daemon.Take(TimeMs(start * settings.window_ms / 5), "s", 1000))
+        ++taken;
+    }
+  }
+  CHECK(taken <= settings.slack);
+}
+
 TEST_GROUP(target_selector) {
   TargetSelector selector_{TargetSelectorSettings(), 5};
   TargetQuery query_{"r", 1, 400};
