Crash suspicions: an unreadable object of the store is replaced

If another program made the stored suspicions unreadable, each daemon whose server crashes would have tried again without a pause to create an object that exists: a read and a write every 50 ms. Repeated conflicts now wait like other failures, and an object that no read shows is overwritten after two. Failed calls are logged (suspicions_call_failed).

suspicion_store/objectIsUnreadable failed before.

--- a/banyanloft/admission/crash_guard.h
+++ b/banyanloft/admission/crash_guard.h
@@ -21,7 +21,7 @@
 /// A request was in flight when a backend server crashed. `cleared` means that
 /// the same request has since completed, which ends the suspicion permanently.
 struct CrashSuspicion {
-  uint64_t fingerprint = 0;  ///< Hash of route and body.
+  uint64_t fingerprint = 0;  ///< Hash of route or path, and body.
   uint64_t crash_id = 0;     ///< Identity of the crash.
   bool cleared = false;
   int64_t age_ms = 0;  ///< Time since the crash, in ms.
--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -83,6 +83,8 @@
     {"suspect_run_started",
      "a request suspected of crashing backend servers is run; crashes known "
      "here"},
+    {"suspicions_call_failed",
+     "a call for the stored crash suspicions failed and is tried again; error"},
     {"settings_rejected", "the settings file is invalid; all errors"},
     {"settings_kept",
      "changed settings were ignored during a graceful shutdown"},
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -260,6 +260,12 @@
     return;
   }
   if (suspicion_store_.IsPending(reply)) {
+    if (reply.error)
+      actions->push_back(
+          LogRecord{LogLevel::kInfo,
+                    "suspicions_call_failed",
+                    {{"error", std::string(NameOf(reply.error->kind))},
+                     {"detail", reply.error->detail}}});
     BackendRunner::Actions runs;
     runner_.OnCrashSuspicions(now, "store",
                               suspicion_store_.OnReply(now, reply), &runs);
--- a/banyanloft/mesh/suspicion_store.cc
+++ b/banyanloft/mesh/suspicion_store.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <charconv>
 #include <map>
-#include <set>
 #include <utility>
 
 #include "banyanloft/config/json.h"
@@ -16,6 +15,10 @@
 constexpr char kPrefix[] = "suspicions/";
 constexpr char kKey[] = "suspicions/fleet";
 
+/// Conflicts after which an object that no read shows is overwritten: another
+/// program has made it unreadable.
+constexpr int kConflictsToOverwrite = 2;
+
 using SuspicionKey = std::pair<uint64_t, uint64_t>;  // Fingerprint and crash.
 
 SuspicionKey KeyOf(const CrashSuspicion& suspicion) {
@@ -89,7 +92,10 @@
                                                  bool partitioned) {
   bool timed_out =
       call_type_ != Call::kNone && now - called_at_ > settings_.timeout_ms;
-  if (timed_out) OnFailed(now);
+  if (timed_out) {
+    counters_.Add("suspicion_store_failures_total", "timeout");
+    OnFailed(now, false);
+  }
   if (call_type_ != Call::kNone || now < next_call_) return std::nullopt;
   PlatformCall call;
   called_at_ = now;
@@ -115,7 +121,8 @@
   call.type = PlatformCall::Type::kWrite;
   call.key = kKey;
   call.value = WriteSuspicions(writing_);
-  call.expected_revision = revision_;
+  bool overwrite = revision_ == 0 && conflicts_ >= kConflictsToOverwrite;
+  if (!overwrite) call.expected_revision = revision_;
   return call;
 }
 
@@ -164,18 +171,18 @@
 
 std::vector<CrashSuspicion> SuspicionStore::OnReply(
     TimeMs now, const PlatformReply& reply) {
-  Call type = std::exchange(call_type_, Call::kNone);
-  call_ = 0;
   if (reply.error) {
-    bool conflict = reply.error->kind == ErrorKind::kConflict;
     counters_.Add("suspicion_store_failures_total",
                   std::string(NameOf(reply.error->kind)));
-    contents_known_ = false;
-    if (!conflict) next_call_ = now + JitteredMs(settings_.retry_ms);
+    bool conflict = reply.error->kind == ErrorKind::kConflict;
+    OnFailed(now, conflict && ++conflicts_ == 1);
     return {};
   }
+  Call type = std::exchange(call_type_, Call::kNone);
+  call_ = 0;
   if (type == Call::kRead) return OnRead(now, reply);
   counters_.Add("suspicion_store_writes_total");
+  conflicts_ = 0;
   revision_ = reply.revision;
   stored_ = std::move(writing_);
   unsaved_ -= std::min(unsaved_, in_write_);
@@ -200,13 +207,12 @@
   return stored_;
 }
 
-/// The call may still take effect.
-void SuspicionStore::OnFailed(TimeMs now) {
-  counters_.Add("suspicion_store_failures_total", "timeout");
+/// A call that failed may still take effect: the contents must be read again.
+void SuspicionStore::OnFailed(TimeMs now, bool may_retry_at_once) {
   call_type_ = Call::kNone;
   call_ = 0;
   contents_known_ = false;
-  next_call_ = now + JitteredMs(settings_.retry_ms);
+  if (!may_retry_at_once) next_call_ = now + JitteredMs(settings_.retry_ms);
 }
 
 /// Uniform between 0.5 and 1.5 times the mean, so that the members do not call
--- a/banyanloft/mesh/suspicion_store.h
+++ b/banyanloft/mesh/suspicion_store.h
@@ -15,8 +15,8 @@
 
 /// Settings of SuspicionStore.
 struct SuspicionStoreSettings {
-  int64_t start_window_ms =
-      100;                    ///< The first read is within this time, in ms.
+  /// The first read is within this time, in ms.
+  int64_t start_window_ms = 100;
   int64_t timeout_ms = 1500;  ///< Time-out of a call, in ms.
   int64_t retry_ms = 300;     ///< Mean delay after a failed call, in ms.
   /// Interval of a watcher's reads during a partition, in ms.
@@ -61,7 +61,7 @@
   std::vector<CrashSuspicion> Wanted(TimeMs now, const CrashGuard& guard) const;
   bool IsOutdated(const std::vector<CrashSuspicion>& wanted) const;
   std::vector<CrashSuspicion> OnRead(TimeMs now, const PlatformReply& reply);
-  void OnFailed(TimeMs now);
+  void OnFailed(TimeMs now, bool may_retry_at_once);
   int64_t JitteredMs(int64_t mean_ms);
 
   SuspicionStoreSettings settings_;
@@ -73,9 +73,10 @@
   TimeMs last_read_;
   TimeMs next_read_;     ///< Of a watcher, in any case.
   bool loaded_ = false;  ///< Read once since the start.
-  bool contents_known_ =
-      false;  ///< As far as known, nobody changed them since.
+  /// The contents are known, and changed by nobody since as far as known.
+  bool contents_known_ = false;
   bool check_contents_ = false;  ///< Just read by a watcher.
+  int conflicts_ = 0;            ///< Conflicts since the last write.
   uint64_t revision_ = 0;        ///< Of the object; 0: it does not exist.
   std::vector<CrashSuspicion> stored_;   ///< Contents when read or written.
   std::vector<CrashSuspicion> writing_;  ///< Contents of the pending write.
--- a/tests/suspicion_store_test.cc
+++ b/tests/suspicion_store_test.cc
@@ -33,6 +33,7 @@
       reply.id = call->id;
       reply.error = Error{ErrorKind::kPlatformUnavailable, "unavailable"};
       if (available) reply = platform->Do(*call);
+      if (hides_objects) reply.objects.clear();
       guard.Merge(*now, store.OnReply(*now, reply));
     }
   }
@@ -40,6 +41,7 @@
   CrashGuard guard{CrashGuardSettings()};
   SuspicionStore store;
   uint64_t calls = 0;
+  bool hides_objects = false;  ///< What is read cannot be parsed.
 };
 
 }  // namespace
@@ -160,3 +162,18 @@
   daemon_.Run(&platform_, &now_, 500);
   LONGS_EQUAL(1, CrashesKnownToNewDaemon(1));
 }
+
+/// An object that cannot be read conflicts with each write of a new one.
+TEST(suspicion_store, objectIsUnreadable_isOverwrittenAfterFewCalls) {
+  PlatformCall write;
+  write.type = PlatformCall::Type::kWrite;
+  write.key = "suspicions/fleet";
+  write.value = "unreadable";
+  platform_.Do(write);
+  daemon_.hides_objects = true;
+  daemon_.Run(&platform_, &now_, 500);
+  daemon_.Crash(now_, 100, {1});
+  daemon_.Run(&platform_, &now_, 5000);
+  CHECK(daemon_.calls <= 8);
+  LONGS_EQUAL(1, CrashesKnownToNewDaemon(1));
+}
