--- a/tests/faulty_backend_test.cc
+++ b/tests/faulty_backend_test.cc
@@ -212,18 +212,20 @@
 
 /// A response that ends inside its head must not be delivered as an empty one.
 TEST(faulty_backend, responseCutInsideItsHead_isBroken) {
-  const std::string kHeads[] = {
-      "HTTP/1.1 200 OK\r\nX-Attempt-Id: r-1\r\nX-Response-Signature: s\r\n"
-      "Content-Length: 5\r\n\r\n",
-      "HTTP/1.1 200 OK\r\nX-Attempt-Id: r-1\r\nX-Response-Signature: s\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n",
-      "HTTP/1.1 200 OK\r\nX-Attempt-Id: r-1\r\nX-Response-Signature: s\r\n"
-      "Connection: close\r\n\r\n",
-      "HTTP/1.0 200 OK\r\nX-Attempt-Id: r-1\r\nX-Response-Signature: s\r\n"
-      "\r\n",
-      "HTTP/1.1 204 No Content\r\nX-Attempt-Id: r-1\r\n"
-      "X-Response-Signature: s\r\n\r\n"};
-  for (const std::string& head : kHeads) {
+  struct Head {
+    const char* status_line;
+    const char* framing;
+  };
+  const Head kHeads[] = {
+      {"HTTP/1.1 200 OK\r\n", "Content-Length: 5\r\n"},
+      {"HTTP/1.1 200 OK\r\n", "Transfer-Encoding: chunked\r\n"},
+      {"HTTP/1.1 200 OK\r\n", "Connection: close\r\n"},
+      {"HTTP/1.0 200 OK\r\n", ""},
+      {"HTTP/1.1 204 No Content\r\n", ""}};
+  for (const Head& parts : kHeads) {
+    const std::string head =
+        fmt::format("{}X-Attempt-Id: r-1\r\nX-Response-Signature: s\r\n{}\r\n",
+                    parts.status_line, parts.framing);
     for (size_t size = 0; size < head.size(); ++size) {
       Serve([&](const std::string&, int) {
         return Script{head.substr(0, size), true};
