--- a/tests/crash_containment_test.cc
+++ b/tests/crash_containment_test.cc
@@ -44,16 +44,16 @@
 
   MeshFleet& Fleet() { return fleet_; }
   void SetRequestsPerSecond(int64_t per_s) { per_s_ = per_s; }
+  /// Harmless requests have only this many different targets.
+  void SetTargets(uint64_t targets) { targets_ = targets; }
   /// Sends the requests that crash servers at instances of any service.
   void SendCrashingAnywhere() { crashing_from_.clear(); }
-  /// Harmless requests have this many different targets each second and are
-  /// sent again until they are served.
   void Run(int64_t ms) {
     for (int64_t passed = 0; passed < ms; passed += kStepMs) {
       for (int64_t i = 0; i < per_s_ * kStepMs / 1000; ++i)
         SendHarmless(fmt::format("/{}/{}/ok-{}", RandomService(),
                                  random_.Below(2) == 0 ? "read" : "write",
-                                 next_target_++));
+                                 next_target_++ % targets_));
       for (int i = 0; i < crashing_; ++i) {
         int64_t elapsed_ms = fleet_.Now() - start_;
         if ((elapsed_ms + i * kRepeatMs / crashing_) % kRepeatMs != 0) continue;
@@ -123,6 +123,7 @@
   int64_t per_s_ = 100;
   std::string crashing_from_ = "pledges";
   uint64_t next_target_ = 0;
+  uint64_t targets_ = UINT64_MAX;
   std::vector<uint64_t> harmless_;
 };
 
@@ -240,6 +241,24 @@
   });
 }
 
+/// The same harmless requests are in flight at every crash, in full slots.
+TEST(crash_containment, popularRequestsAreInFlight_areNotRefusedAsSuspects) {
+  settings_.run_ms = 150;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    settings_.seed = seed;
+    CrashLoad load(settings_, kInstances, kCrashing);
+    load.SetTargets(20);
+    load.SetRequestsPerSecond(800);
+    load.Run(10000);
+    load.KillShare(1000, 300);
+    load.Run(20000);
+    Outcome outcome = load.Evaluate();
+    PrintOutcome("popular", seed, outcome);
+    CHECK(outcome.most_late_arrivals <= kLateArrivalsAllowed);
+    LONGS_EQUAL(0, outcome.others_suspected);
+  }
+}
+
 TEST(crash_containment, datagramsAreLost_requestStaysContained) {
   settings_.loss_permille = 200;
   CheckContained("loss", [](CrashLoad* load) { load->KillShare(500, 300); });
