Make two cases fail each time

Of five runs beside other work review/1 failed in four and review/3 in four: on a kept connection the kernel had taken up a whole answer of 300 KB, and all clients of the load paused at the same time.

--- a/review/standin/load.cc
+++ b/review/standin/load.cc
@@ -33,6 +33,9 @@
 void Load::RunClient(const Machine& machine, int number) {
   constexpr int64_t kPauseMs = 50;
   constexpr int64_t kDeadlineMs = 2500;
+  // Spread, so that requests are under way at any time.
+  constexpr int64_t kSpreadMs = 30;
+  SleepMs(number * kSpreadMs);
   Client client(machine.outbound);
   for (int i = 1; !stop_; ++i) {
     std::string id = machine.settings.name + "-" + std::to_string(number) +
