--- a/review/standin/platform.cc
+++ b/review/standin/platform.cc
@@ -428,7 +428,7 @@
   store_address_ = {"127.0.0.1", base_port_ + 9};
   store_ = std::make_unique<Store>(store_address_);
   if (!store_->Start()) return false;
-  store_->Put("config", "main", Configuration(1, false));
+  store_->Put("config", "main", Configuration(1));
   for (auto& machine : machines_) {
     const MachineSettings& own = machine->settings;
     machine->outbound = {own.ip, base_port_ + 4};
@@ -523,7 +523,7 @@
        << "history_s = 20\nvalue_bytes = 1048576\nmin_ttl_s = 1\n";
 }
 
-Json Fleet::Configuration(int version, bool moved) {
+Json Fleet::Configuration(int version) {
   auto rule = [](const char* name, const char* kind, double aim_s, int priority,
                  const char* prefix, const char* service, double timeout_s) {
     return Json{{"name", name},
@@ -537,8 +537,7 @@
                   {"max_attempts", 2}}}};
   };
   Json rules = Json::array(
-      {rule("r-lookup", "safe", 0.4, 1, "/lookup/",
-            moved ? "dispatch" : "catalogue", 1.2),
+      {rule("r-lookup", "safe", 0.4, 1, "/lookup/", "catalogue", 1.2),
        rule("r-register", "unsafe", 0.5, 1, "/register/", "pledges", 1.5),
        rule("r-dispatch", "unsafe", 0.25, 0, "/dispatch/", "dispatch", 0.8)});
   Json clusters = Json::array();
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -199,9 +199,8 @@
   Store& TheStore() { return *store_; }
   std::vector<std::unique_ptr<Machine>>& Machines() { return machines_; }
   std::vector<Machine*> OfService(const std::string& service);
-  /// The configuration with the given version. `moved`: lookups go to the
-  /// service `dispatch` instead of `catalogue`.
-  static Json Configuration(int version, bool moved);
+  /// The configuration with the given version.
+  static Json Configuration(int version);
 
  private:
   bool FindPorts();
