Log what changes the state of a backend server, and its health checks

The logs could not tell the hypotheses apart: a report, a health check or a deregistration gave the same instance_changed, ignored reports were only counted, and the result of a health check was not logged.

instance_changed, instance_started and instance_lost now say their source and the time since the daemon started; instance_report_ignored names the report and what was known; instance_health_check is logged when the result differs from the last one. No decision changes.

--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -51,9 +51,13 @@
      "other daemons suspect requests of crashing backend servers; number, "
      "requests tracked, fingerprints refused from now on"},
     {"instance_changed",
-     "state, slots or service of the backend server changed"},
+     "state, slots or service of the backend server changed; source, time "
+     "since the daemon started"},
     {"instance_crashed",
      "the backend server crashed; requests that were running"},
+    {"instance_health_check",
+     "the health check of the backend server has another result than the last "
+     "one; result now and before, status"},
     {"instance_leaving", "a response says that the backend server leaves"},
     {"instance_limit",
      "the request rate that the backend server accepts changed; limit now and "
@@ -61,6 +65,9 @@
     {"instance_limit_malformed",
      "a response names a limit that is no number; its text"},
     {"instance_lost", "requests can no longer reach the backend server"},
+    {"instance_report_ignored",
+     "a report was late, foreign or of an earlier start; its start and "
+     "sequence, and those known"},
     {"instance_report_unreadable",
      "a report of the backend server cannot be parsed; detail"},
     {"instance_started", "the backend server restarted"},
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -57,6 +57,7 @@
                              uint64_t seed, TimeMs now)
     : settings_(settings),
       random_(seed),
+      start_(now),
       registry_(settings.address, settings.heartbeat_ms),
       admission_(settings.admission),
       crash_guard_(settings.crash_guard),
@@ -256,7 +257,7 @@
 void BackendRunner::MarkInstanceUnreachable(TimeMs now, Actions* actions) {
   if (registry_.State() != InstanceState::kReady) return;
   registry_.OnUnreachable();
-  LogInstance("instance_lost", actions);
+  LogInstance(now, "instance_lost", "connection", actions);
   AdmissionController::Decisions decisions;
   admission_.RefuseAll(ErrorKind::kBackendUnavailable, &decisions);
   ApplyDecisions(now, decisions, actions);
@@ -309,7 +310,9 @@
   uint64_t starts = registry_.Starts();
   InstanceRegistry::Change change = registry_.OnReport(now, report);
   if (registry_.Starts() != starts) OnRestart(now, before, actions);
-  OnInstanceChange(now, change, actions);
+  OnInstanceChange(now, change, "report", actions);
+  if (change == InstanceRegistry::Change::kIgnored)
+    LogIgnoredReport(report, actions);
   if (!registry_.NeedsHealthCheck()) return;
   // A server that reports can also answer.
   next_probe_ = now;
@@ -318,12 +321,13 @@
 
 void BackendRunner::OnDeregistered(TimeMs now, const std::string& instance,
                                    Actions* actions) {
-  OnInstanceChange(now, registry_.OnDeregistered(now, instance), actions);
+  OnInstanceChange(now, registry_.OnDeregistered(now, instance),
+                   "deregistration", actions);
 }
 
 void BackendRunner::OnInstanceChange(TimeMs now,
                                      InstanceRegistry::Change change,
-                                     Actions* actions) {
+                                     const char* source, Actions* actions) {
   switch (change) {
     case InstanceRegistry::Change::kNone:
       return;
@@ -331,11 +335,11 @@
       counters_.Add("instance_reports_ignored_total");
       return;
     case InstanceRegistry::Change::kStarted:
-      LogInstance("instance_started", actions);
+      LogInstance(now, "instance_started", source, actions);
       SetRateLimit(now, std::nullopt, actions);
       break;
     case InstanceRegistry::Change::kUpdated:
-      LogInstance("instance_changed", actions);
+      LogInstance(now, "instance_changed", source, actions);
       break;
   }
   if (!IsLeaving(registry_.State())) return;
@@ -344,17 +348,54 @@
   ApplyDecisions(now, decisions, actions);
 }
 
-void BackendRunner::LogInstance(const char* event, Actions* actions) {
+void BackendRunner::LogInstance(TimeMs now, const char* event,
+                                const char* source, Actions* actions) {
   const InstanceReport& instance = registry_.Last();
   actions->push_back(
       LogRecord{LogLevel::kInfo,
                 event,
                 {{"instance", instance.id},
                  {"state", NameOf(registry_.State())},
+                 {"source", source},
                  {"service", Service()},
                  {"slots", std::to_string(instance.slots)},
                  {"born_ms", std::to_string(instance.start_time_ms)},
-                 {"sequence", std::to_string(instance.sequence)}}});
+                 {"sequence", std::to_string(instance.sequence)},
+                 {"since_start_ms", std::to_string(now - start_)}}});
+}
+
+void BackendRunner::LogIgnoredReport(const InstanceReport& report,
+                                     Actions* actions) {
+  actions->push_back(LogRecord{
+      LogLevel::kInfo,
+      "instance_report_ignored",
+      {{"instance", report.id},
+       {"address", report.address},
+       {"born_ms", std::to_string(report.start_time_ms)},
+       {"sequence", std::to_string(report.sequence)},
+       {"draining", report.draining ? "true" : "false"},
+       {"state", NameOf(registry_.State())},
+       {"known_instance", registry_.Last().id},
+       {"known_sequence", std::to_string(registry_.Last().sequence)},
+       {"known_born_ms", std::to_string(registry_.Last().start_time_ms)}}});
+}
+
+/// Logs the result of a health check if it differs from that of the last one.
+void BackendRunner::LogHealthCheck(const ProbeResult& result,
+                                   Actions* actions) {
+  std::string health = !result.up                 ? "unreachable"
+                       : !result.instance.empty() ? "healthy"
+                       : result.status == 0       ? "timeout"
+                                                  : "unhealthy";
+  if (health == last_health_) return;
+  actions->push_back(LogRecord{LogLevel::kInfo,
+                               "instance_health_check",
+                               {{"instance", registry_.Last().id},
+                                {"result", health},
+                                {"before", last_health_},
+                                {"status", std::to_string(result.status)},
+                                {"state", NameOf(registry_.State())}}});
+  last_health_ = std::move(health);
 }
 
 void BackendRunner::Probe(TimeMs now, Actions* actions) {
@@ -369,6 +410,7 @@
 void BackendRunner::OnProbed(TimeMs now, const ProbeResult& result,
                              Actions* actions) {
   probing_ = false;
+  LogHealthCheck(result, actions);
   const std::string& instance = result.instance;
   if (result.notice && probed_start_ == registry_.Starts())
     OnNotice(now, *result.notice, "health_check", actions);
@@ -384,7 +426,7 @@
   InstanceRegistry::Change change =
       registry_.OnHealthy(now, instance, settings_.service);
   if (registry_.Starts() != starts) OnRestart(now, before, actions);
-  OnInstanceChange(now, change, actions);
+  OnInstanceChange(now, change, "health_check", actions);
 }
 
 void BackendRunner::OnNotice(TimeMs now, const BackendNotice& notice,
@@ -431,7 +473,7 @@
                   "instance_leaving",
                   {{"instance", registry_.Last().id}, {"source", source}}});
   }
-  OnInstanceChange(now, change, actions);
+  OnInstanceChange(now, change, source, actions);
 }
 
 void BackendRunner::SetRateLimit(TimeMs now, std::optional<double> per_s,
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -111,6 +111,7 @@
   bool up = false;       ///< The backend server accepts connections.
   std::string instance;  ///< Its id if it reports itself healthy, else empty.
   std::optional<BackendNotice> notice;  ///< Empty if there was no response.
+  int status = 0;  ///< HTTP status; 0: there was no response.
 };
 
 /// Target side of a request: tracks the backend server on this instance, admits
@@ -195,7 +196,7 @@
               Actions* actions);
   void Drop(TimeMs now, uint64_t id, Actions* actions);
   void OnInstanceChange(TimeMs now, InstanceRegistry::Change change,
-                        Actions* actions);
+                        const char* source, Actions* actions);
   void MarkInstanceUnreachable(TimeMs now, Actions* actions);
   void RecordLostRun(TimeMs now, RunResult::Type type, uint64_t fingerprint,
                      Actions* actions);
@@ -213,11 +214,15 @@
   void RecordCrash(TimeMs now, std::vector<uint64_t> fingerprints,
                    Actions* actions);
   void Probe(TimeMs now, Actions* actions);
-  void LogInstance(const char* event, Actions* actions);
+  void LogInstance(TimeMs now, const char* event, const char* source,
+                   Actions* actions);
+  void LogIgnoredReport(const InstanceReport& report, Actions* actions);
+  void LogHealthCheck(const ProbeResult& result, Actions* actions);
   void LogSuspectStart(TimeMs now, const Work& work, Actions* actions);
 
   BackendRunnerSettings settings_;
   Random random_;
+  TimeMs start_;  ///< Of this process.
   InstanceRegistry registry_;
   AdmissionController admission_;
   CrashGuard crash_guard_;
@@ -227,6 +232,7 @@
   LostRuns lost_runs_;
   bool probing_ = false;
   uint64_t probed_start_ = 0;  ///< InstanceRegistry::Starts() at the check.
+  std::string last_health_;    ///< Result of the last health check, as logged.
   TimeMs next_probe_;
   TimeMs noticed_at_;          ///< Time of the last response or health check.
   uint64_t runs_started_ = 0;  ///< Since the start of this process.
--- a/banyanloft/operator/request_tracer.cc
+++ b/banyanloft/operator/request_tracer.cc
@@ -61,7 +61,8 @@
       "store_regained",           "link_lost",        "instance_changed",
       "instance_started",         "instance_lost",    "instance_crashed",
       "crash_suspicions_learned", "own_pause",        "drain_began",
-      "daemon_started",           "daemon_stopped",   "settings_reloaded"};
+      "daemon_started",           "daemon_stopped",   "settings_reloaded",
+      "instance_health_check"};
   return kEvents.count(event) > 0;
 }
 
