A restarted daemon does not use a server that its predecessor let go

Cause: an acknowledged leaving is kept only by the process that gave it. The next process accepted the second report, whatever its age, as proof that the server is in service.

Change: until this process has seen the server in service, a report makes it ready only if it arrives later than max_report_delay_ms (10 s) after the start of the process, so that it must have been sent since; a passed health check does so at once, as before. The same holds after a leaving of a server whose start is unknown: the reports of a young one have the sequence numbers of a new start.

Checks changed because they demanded the fault: firstReport_isNotUsedUntilTheNext said that the second report is proof, and now checks every report up to the delay and the first one after it; reportsInSeries_unhealthyAnswer_changesNothing did so at the runner, and is now two tests, for a server seen in service and for a daemon that restarted. report_ofRestartWithSameId_isReady starts from a health check now; the case without one has its own test.

--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -40,6 +40,14 @@
          type == RunResult::Type::kNotSent;
 }
 
+InstanceRegistrySettings RegistrySettings(
+    const BackendRunnerSettings& settings) {
+  InstanceRegistrySettings registry;
+  registry.address = settings.address;
+  registry.heartbeat_ms = settings.heartbeat_ms;
+  return registry;
+}
+
 std::string TextOf(const std::optional<double>& limit_per_s) {
   return limit_per_s ? fmt::format("{:.6g}", *limit_per_s) : "none";
 }
@@ -58,7 +66,7 @@
     : settings_(settings),
       random_(seed),
       start_(now),
-      registry_(settings.address, settings.heartbeat_ms),
+      registry_(RegistrySettings(settings), now),
       admission_(settings.admission),
       crash_guard_(settings.crash_guard),
       lost_runs_(settings.lost_runs),
--- a/banyanloft/mesh/instance_registry.cc
+++ b/banyanloft/mesh/instance_registry.cc
@@ -22,8 +22,8 @@
   bool start_unknown = last_.start_time_ms == 0;
   bool other = !last_.id.empty() && report.id != last_.id;
   if (!left || !start_unknown || other) return false;
-  int64_t max_reports =
-      1 + (now - reported_at_) * kMaxReportsPerHeartbeat / heartbeat_ms_;
+  int64_t max_reports = 1 + (now - reported_at_) * kMaxReportsPerHeartbeat /
+                                settings_.heartbeat_ms;
   return report.sequence > max_reports;
 }
 
@@ -34,13 +34,22 @@
          state_ == InstanceState::kReady;
 }
 
+/// A server leaves whose start is unknown: reports cannot be told from those of
+/// a server that starts afterwards under its id.
+void InstanceRegistry::RequireConfirmation(TimeMs now) {
+  if (last_.start_time_ms != 0) return;
+  confirmed_ = false;
+  unconfirmed_since_ = now;
+}
+
 InstanceRegistry::Change InstanceRegistry::OnReport(
     TimeMs now, const InstanceReport& report) {
-  if (report.address != address_) return Change::kIgnored;
+  if (report.address != settings_.address) return Change::kIgnored;
   if (PrecedesLeaving(now, report)) {
     last_.id = report.id;
     last_.start_time_ms = report.start_time_ms;
     last_.sequence = report.sequence;
+    confirmed_ = true;  // Its start is known now.
     return Change::kIgnored;
   }
   bool same_start =
@@ -60,7 +69,8 @@
   last_ = report;
   // Draining is final until the backend server starts again.
   bool stays_draining = same_start && state_ == InstanceState::kDraining;
-  confirmed_ = confirmed_ || was_known;
+  bool sent_since = now - unconfirmed_since_ > settings_.max_report_delay_ms;
+  confirmed_ = confirmed_ || sent_since;
   if (report.draining || stays_draining) {
     state_ = InstanceState::kDraining;
   } else {
@@ -82,6 +92,7 @@
   reported_at_ = now;
   bool changed = state_ != InstanceState::kGone;
   state_ = InstanceState::kGone;
+  RequireConfirmation(now);
   return changed ? Change::kUpdated : Change::kNone;
 }
 
@@ -91,6 +102,7 @@
   if (leaves) return Change::kNone;
   reported_at_ = now;
   state_ = InstanceState::kDraining;
+  RequireConfirmation(now);
   return Change::kUpdated;
 }
 
@@ -104,7 +116,7 @@
   }
   confirmed_ = true;
   last_.id = id;
-  last_.address = address_;
+  last_.address = settings_.address;
   if (last_.service.empty()) last_.service = service;
   reported_at_ = now;
   state_ = InstanceState::kReady;
--- a/banyanloft/mesh/instance_registry.h
+++ b/banyanloft/mesh/instance_registry.h
@@ -32,19 +32,31 @@
 /// Name of a state as used in logs.
 const char* NameOf(InstanceState state);
 
+/// Settings of InstanceRegistry.
+struct InstanceRegistrySettings {
+  std::string address;          ///< Reports with any other are ignored.
+  int64_t heartbeat_ms = 1500;  ///< Expected period of reports, in ms.
+  /// Longest time between the sending of a report and its arrival, in ms.
+  int64_t max_report_delay_ms = 10000;
+};
+
 /// Tracks the backend server on this instance by its reports and by what its
 /// responses say. Late reports and those of earlier starts are ignored.
-/// Draining and deregistration are final until the backend server starts again,
-/// also if this process started after the last report and knows the server from
-/// a health check only. Deterministic; not thread safe.
+/// Draining and deregistration are final until the backend server starts again.
+/// That includes what an earlier process acknowledged, of which this process
+/// knows nothing: it takes the server for ready only once a health check
+/// succeeds, or a report arrives that must have been sent since its own start.
+/// Deterministic; not thread safe.
 class InstanceRegistry {
  public:
-  /// `address`: reports with any other address are ignored.
-  InstanceRegistry(std::string address, int64_t heartbeat_ms)
-      : address_(std::move(address)), heartbeat_ms_(heartbeat_ms) {}
+  /// `now`: start of this process.
+  InstanceRegistry(const InstanceRegistrySettings& settings, TimeMs now)
+      : settings_(settings), unconfirmed_since_(now) {}
 
   /// Sets the expected period of reports, in ms.
-  void SetHeartbeat(int64_t heartbeat_ms) { heartbeat_ms_ = heartbeat_ms; }
+  void SetHeartbeat(int64_t heartbeat_ms) {
+    settings_.heartbeat_ms = heartbeat_ms;
+  }
 
   /// Effect of a report.
   enum class Change : uint8_t {
@@ -85,15 +97,16 @@
   bool IsKnownByHealthCheckOnly() const;
   bool PrecedesLeaving(TimeMs now, const InstanceReport& report) const;
 
-  std::string address_;
-  int64_t heartbeat_ms_;  ///< Expected period of reports, in ms.
+  void RequireConfirmation(TimeMs now);
+
+  InstanceRegistrySettings settings_;
   InstanceState state_ = InstanceState::kUnknown;
   InstanceReport last_;
   uint64_t starts_ = 0;
-  /// A second report, a new start or a health check showed that the server is
-  /// in service. Until then a first report may be older than its leaving, which
-  /// an earlier process acknowledged.
+  /// The server was in service at some time since unconfirmed_since_. Until
+  /// that is known, any report may be older than an acknowledged leaving.
   bool confirmed_ = false;
+  TimeMs unconfirmed_since_;
   TimeMs reported_at_{-1000000};
 };
 
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -26,7 +26,15 @@
 constexpr int64_t kHeartbeatMs = 1500;
 
 TEST_GROUP(instance_registry) {
-  InstanceRegistry registry_{kAddress, kHeartbeatMs};
+  InstanceRegistrySettings settings_ = RegistrySettings();
+  InstanceRegistry registry_{settings_, TimeMs(0)};
+
+  static InstanceRegistrySettings RegistrySettings() {
+    InstanceRegistrySettings settings;
+    settings.address = kAddress;
+    settings.heartbeat_ms = kHeartbeatMs;
+    return settings;
+  }
 };
 
 TEST(instance_registry, report_late_isIgnored) {
@@ -43,12 +51,24 @@
 }
 
 TEST(instance_registry, report_ofRestartWithSameId_isReady) {
+  registry_.OnHealthy(TimeMs(0), "i-1", "s");
   registry_.OnReport(TimeMs(0), ReportOf(9, true));
   CHECK(registry_.OnReport(TimeMs(1), ReportOf(1, false, 2000)) ==
         InstanceRegistry::Change::kStarted);
   CHECK(registry_.State() == InstanceState::kReady);
 }
 
+// Both starts may have left before this process started.
+TEST(instance_registry, report_ofRestartAtNewProcess_needsAHealthCheck) {
+  registry_.OnReport(TimeMs(0), ReportOf(9, true));
+  CHECK(registry_.OnReport(TimeMs(1), ReportOf(1, false, 2000)) ==
+        InstanceRegistry::Change::kStarted);
+  CHECK(registry_.State() == InstanceState::kUnknown);
+  CHECK(registry_.NeedsHealthCheck());
+  registry_.OnHealthy(TimeMs(2), "i-1", "s");
+  CHECK(registry_.State() == InstanceState::kReady);
+}
+
 TEST(instance_registry, report_ofEarlierStart_isIgnored) {
   registry_.OnHealthy(TimeMs(0), "i-1", "s");
   registry_.OnReport(TimeMs(0), ReportOf(1, false, 2000));
@@ -97,11 +117,17 @@
 }
 
 // An earlier process acknowledged that the server leaves. Its successor knows
-// nothing of that, and the first report that it sees was sent before.
-TEST(instance_registry, firstReport_isNotUsedUntilTheNext) {
+// nothing of that, and the reports that it sees may have been sent before.
+TEST(instance_registry,
+     reports_withoutAHealthCheck_areNotUsedWhileTheyMayBeLate) {
   registry_.OnReport(TimeMs(100), ReportOf(20));
   CHECK(registry_.State() == InstanceState::kUnknown);
   registry_.OnReport(TimeMs(1600), ReportOf(21));
+  CHECK(registry_.State() == InstanceState::kUnknown);
+  TimeMs latest(settings_.max_report_delay_ms);
+  registry_.OnReport(latest, ReportOf(27));
+  CHECK(registry_.State() == InstanceState::kUnknown);
+  registry_.OnReport(latest + 1, ReportOf(28));
   CHECK(registry_.State() == InstanceState::kReady);
 }
 
@@ -245,13 +271,24 @@
   LONGS_EQUAL(2, Count<ProbeInstance>());
 }
 
-TEST(backend_runner, reportsInSeries_unhealthyAnswer_changesNothing) {
-  runner_->OnReport(TimeMs(0), ReportOf(20), &actions_);
+// Health checks of a server in service may fail.
+TEST(backend_runner, serverInService_unhealthyAnswer_changesNothing) {
+  Report(20);
   runner_->OnReport(TimeMs(1500), ReportOf(21), &actions_);
   runner_->OnProbed(TimeMs(1600), ProbeResult{true, "", {}}, &actions_);
   CHECK(runner_->State() == InstanceState::kReady);
 }
 
+TEST(backend_runner, daemonRestarted_unhealthyAnswer_reportsDoNotRevive) {
+  runner_->OnReport(TimeMs(0), ReportOf(20), &actions_);
+  runner_->OnProbed(TimeMs(10), ProbeResult{true, "", {}}, &actions_);
+  runner_->OnReport(TimeMs(1500), ReportOf(21), &actions_);
+  runner_->OnProbed(TimeMs(1510), ProbeResult{true, "", {}}, &actions_);
+  Forward(TimeMs(1520), 1, false);
+  CHECK(Run(0) == nullptr);
+  CHECK(AnswerOf(1)->run_state == RunState::kNotRun);
+}
+
 TEST(backend_runner, daemonRestarted_lateReportOfALeavingServer_isNotRun) {
   runner_->OnReport(TimeMs(0), ReportOf(20), &actions_);
   runner_->OnProbed(TimeMs(5), ProbeResult{true, "", {}}, &actions_);
