Log what a planned stop leaves behind

drain_finished gives the time since SIGTERM, requests, runs and held requests that are given up, responses that are not finished, bytes that wait on links, and requests of peers that came after new ones of clients are refused. HttpServer and LinkHub count what they have not written; MeshNode is told before each tick. No decision changes.

--- a/banyanloft/http/http_server.cc
+++ b/banyanloft/http/http_server.cc
@@ -30,6 +30,7 @@
   void Reply(uint64_t id, HttpResponse response);
   void StopAccepting();
   void DisableKeepAlive() { keep_alive_disabled_ = true; }
+  size_t UnfinishedResponses() const { return unfinished_responses_; }
   void SetLimits(const HttpServerSettings& settings);
   void Close();
 
@@ -43,6 +44,7 @@
   HttpHandler* handler_;
   Tcp::acceptor acceptor_;
   uint64_t next_request_ = 1;
+  size_t unfinished_responses_ = 0;
   bool stopping_ = false;
   bool keep_alive_disabled_ =
       false;  ///< Connections close after their next response.
@@ -57,7 +59,10 @@
       : server_(std::move(server)),
         stream_(std::move(socket)),
         timer_(server_->io_) {}
-  ~Session() { server_->sessions_.erase(this); }
+  ~Session() {
+    SetUnfinished(false);
+    server_->sessions_.erase(this);
+  }
 
   void Read() {
     parser_.emplace();
@@ -90,6 +95,7 @@
 
   void Reply(HttpResponse response, bool keep_alive) {
     if (finished_) return;
+    SetUnfinished(true);
     request_id_ = 0;
     timer_.cancel();
     beast::error_code ignored;
@@ -115,6 +121,7 @@
   }
 
   void Close() {
+    SetUnfinished(false);
     beast::error_code ignored;
     stream_.socket().close(ignored);
     timer_.cancel();
@@ -125,6 +132,13 @@
   static constexpr int64_t kDisconnectPollMs = 100;
   static constexpr int64_t kLingerMs = 1000;
 
+  void SetUnfinished(bool unfinished) {
+    if (unfinished == unfinished_) return;
+    unfinished_ = unfinished;
+    unfinished ? ++server_->unfinished_responses_
+               : --server_->unfinished_responses_;
+  }
+
   void ReadRequest() {
     stream_.expires_never();
     reading_ = true;
@@ -239,8 +253,10 @@
   }
 
   void OnWritten(beast::error_code error) {
+    bool closes = !error && response_->need_eof();
+    if (!closes) SetUnfinished(false);
     if (error) return;
-    if (!response_->need_eof()) return Read();
+    if (!closes) return Read();
     beast::error_code ignored;
     stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     Linger();
@@ -262,7 +278,8 @@
     stream_.async_read_some(
         asio::buffer(discard_),
         [self = shared_from_this()](beast::error_code error, size_t) {
-          if (!error) self->Discard();
+          if (!error) return self->Discard();
+          self->SetUnfinished(false);
         });
   }
 
@@ -278,6 +295,7 @@
   bool read_pending_ = false;  ///< Beast is reading; no other read may start.
   bool keep_alive_ = true;
   bool finished_ = false;
+  bool unfinished_ = false;  ///< Counted in UnfinishedResponses().
 };
 
 Result<Endpoint> HttpServer::Impl::Start() {
@@ -359,6 +377,9 @@
 }
 void HttpServer::StopAccepting() { impl_->StopAccepting(); }
 void HttpServer::DisableKeepAlive() { impl_->DisableKeepAlive(); }
+size_t HttpServer::UnfinishedResponses() const {
+  return impl_->UnfinishedResponses();
+}
 void HttpServer::SetLimits(const HttpServerSettings& settings) {
   impl_->SetLimits(settings);
 }
--- a/banyanloft/links/link_hub.cc
+++ b/banyanloft/links/link_hub.cc
@@ -69,6 +69,7 @@
   void Stop();
   const Counters& Counts() const { return counters_; }
   size_t OpenLinks() const { return by_handle_.size(); }
+  size_t UnsentBytes() const;
 
  private:
   /// One connection, whichever side opened it.
@@ -519,6 +520,13 @@
       });
 }
 
+size_t LinkHub::Impl::UnsentBytes() const {
+  size_t bytes = 0;
+  for (const auto& [handle, link] : by_handle_)
+    bytes += link->out.QueuedBytes() + link->buffered();
+  return bytes;
+}
+
 void LinkHub::Impl::Stop() {
   stopped_ = true;
   housekeeping_.cancel();
@@ -542,5 +550,6 @@
 void LinkHub::Stop() { impl_->Stop(); }
 const Counters& LinkHub::Counts() const { return impl_->Counts(); }
 size_t LinkHub::OpenLinks() const { return impl_->OpenLinks(); }
+size_t LinkHub::UnsentBytes() const { return impl_->UnsentBytes(); }
 
 }  // namespace banyanloft
--- a/banyanloft/links/link_hub.h
+++ b/banyanloft/links/link_hub.h
@@ -88,6 +88,8 @@
   const Counters& Counts() const;
   /// Number of links, including those being opened.
   size_t OpenLinks() const;
+  /// Bytes of messages that are not written to their connections yet.
+  size_t UnsentBytes() const;
 
  private:
   class Impl;
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -104,9 +104,7 @@
 void MeshNode::OnRequest(TimeMs now, uint64_t request, MeshRequest message,
                          Actions* actions) {
   Forwarder::Actions list;
-  bool ending =
-      draining_ && now - drain_began_ >= settings_.drain_refuse_new_ms;
-  if (ending) {
+  if (RefusesNew(now)) {
     forwarder_.Refuse(request, ErrorKind::kDraining, kMinRetryAfterMs,
                       message.request_id, &list);
   } else if (config_.Table() ||
@@ -116,6 +114,10 @@
   DispatchForwarder(now, std::move(list), actions);
 }
 
+bool MeshNode::RefusesNew(TimeMs now) const {
+  return draining_ && now - drain_began_ >= settings_.drain_refuse_new_ms;
+}
+
 bool MeshNode::BufferRequest(TimeMs now, uint64_t request, MeshRequest* message,
                              Actions* actions) {
   std::string id = message->request_id;
@@ -169,6 +171,7 @@
   BackendRunner::Actions runs;
   ConfigFollower::Actions changes;
   if (auto* forward = std::get_if<ForwardRequest>(&message)) {
+    if (RefusesNew(now)) ++late_peer_requests_;
     runner_.OnForward(now, link, std::move(*forward), &runs);
   } else if (auto* answer = std::get_if<ForwardAnswer>(&message)) {
     forwarder_.OnAnswer(now, std::move(*answer), &requests);
@@ -424,6 +427,7 @@
   bool finished = idle && drained_ms >= settings_.drain_min_ms;
   if (!finished && drained_ms < settings_.drain_max_ms) return;
   exit_sent_ = true;
+  LogDrainFinished(now, actions);
   membership_.Announce(now, MemberState::kGone, runner_.Service(), 0);
   std::vector<DatagramOut> datagrams;
   membership_.Tick(now, &datagrams);
@@ -431,6 +435,19 @@
   actions->push_back(ReadyToExit{});
 }
 
+void MeshNode::LogDrainFinished(TimeMs now, Actions* actions) {
+  actions->push_back(LogRecord{
+      LogLevel::kInfo,
+      "drain_finished",
+      {{"drained_ms", std::to_string(now - drain_began_)},
+       {"requests", std::to_string(forwarder_.InFlight())},
+       {"runs", std::to_string(runner_.InFlight())},
+       {"held", std::to_string(startup_buffer_.Count())},
+       {"responses_unfinished", std::to_string(pending_output_.responses)},
+       {"link_bytes_unsent", std::to_string(pending_output_.link_bytes)},
+       {"late_peer_requests", std::to_string(late_peer_requests_)}}});
+}
+
 bool MeshNode::IsWatcher(TimeMs now) const {
   // While the fleet starts, each member knows no others yet and would consider
   // itself the first of its zone.
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -69,6 +69,12 @@
     std::variant<AnswerClient, SendPeer, SendDatagram, PlatformCall, StartRun,
                  CancelRunOnBackend, ProbeInstance, LogRecord, ReadyToExit>;
 
+/// Output that was handed over but has not left this process.
+struct PendingOutput {
+  size_t responses = 0;   ///< To clients.
+  size_t link_bytes = 0;  ///< To peers.
+};
+
 /// Decision logic of the sidecar daemon. Takes the time and messages as input
 /// and returns actions. Owns the state machines and passes messages between
 /// them. Deterministic; not thread safe; free of I/O.
@@ -107,6 +113,11 @@
   /// Starts a planned stop: not ready from now on, keeps serving for a while,
   /// then emits ReadyToExit.
   void BeginDrain(TimeMs now, Actions* actions);
+  /// Updates the output that a planned stop has to wait for; to be called
+  /// before each Tick while it is in progress.
+  void SetPendingOutput(const PendingOutput& output) {
+    pending_output_ = output;
+  }
   /// Performs periodic work; call it about every 20 ms.
   void Tick(TimeMs now, Actions* actions);
 
@@ -144,6 +155,9 @@
   void FillVersion(TimeMs now, Datagram* datagram) const;
   void UpdateAnnouncedState(TimeMs now);
   void TickDrain(TimeMs now, Actions* actions);
+  void LogDrainFinished(TimeMs now, Actions* actions);
+  /// Whether a planned stop is too far advanced for new requests.
+  bool RefusesNew(TimeMs now) const;
   void RefuseQueued(TimeMs now, Actions* actions);
   /// Buffers a request until the first version arrives. False: it cannot wait.
   bool BufferRequest(TimeMs now, uint64_t request, MeshRequest* message,
@@ -171,6 +185,9 @@
   bool exit_sent_ = false;
   bool queued_refused_ = false;
   TimeMs drain_began_;
+  PendingOutput pending_output_;
+  /// Requests of peers that came after those of clients are refused.
+  uint64_t late_peer_requests_ = 0;
   TimeMs last_datagram_at_;
   uint64_t next_store_call_ = 1;
   uint64_t config_call_ = 0;
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -280,6 +280,9 @@
     if (error) return;
     lag_.OnTick(clock_.Now());
     PollSettings(clock_.Now());
+    if (node_->Draining())
+      node_->SetPendingOutput(
+          {client_server_->UnfinishedResponses(), links_->UnsentBytes()});
     RunStep([this](TimeMs now, MeshNode::Actions* actions) {
       node_->Tick(now, actions);
     });
