A planned stop waits for output that is being written

Seen by clients: a daemon that gets SIGTERM ends in the middle of responses that it is writing.

Cause: "nothing in progress" counted requests in Forwarder and BackendRunner, which end when a response is handed to the HTTP server or to a link, and left out what is written afterwards and what is held at start-up. The log of a stop says so: drain_finished drained_ms=2730 requests=0 runs=0 responses_unfinished=4. The 60 ms meant for last messages were not granted either: the next tick re-armed the timer that they waited for.

Change: MeshNode exits only when nothing waits to be written (responses, bytes on links) and no request is held. The exit has a timer of its own. The class looked for on related paths: links to peers (the same cause, mended here); banyanloftd also counts only requests in progress, but stays idle for 1 s before it exits; not shown, open.

--- a/banyanloft/http/http_server.cc
+++ b/banyanloft/http/http_server.cc
@@ -253,10 +253,9 @@
   }
 
   void OnWritten(beast::error_code error) {
-    bool closes = !error && response_->need_eof();
-    if (!closes) SetUnfinished(false);
+    SetUnfinished(false);
     if (error) return;
-    if (!closes) return Read();
+    if (!response_->need_eof()) return Read();
     beast::error_code ignored;
     stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     Linger();
@@ -278,8 +277,7 @@
     stream_.async_read_some(
         asio::buffer(discard_),
         [self = shared_from_this()](beast::error_code error, size_t) {
-          if (!error) return self->Discard();
-          self->SetUnfinished(false);
+          if (!error) self->Discard();
         });
   }
 
--- a/banyanloft/http/http_server.h
+++ b/banyanloft/http/http_server.h
@@ -59,8 +59,7 @@
   /// Makes connections close after their next response; new ones are still
   /// accepted.
   void DisableKeepAlive();
-  /// Responses that may not have reached their client: they are being written,
-  /// or were written last on a connection that the client has not closed yet.
+  /// Number of responses that are being written.
   size_t UnfinishedResponses() const;
   /// Sets the limits for requests read from now on. `listen`, `max_connections`
   /// and `first_read_delay_ms` are not changed.
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -37,17 +37,19 @@
   return FastHash("mesh", seed * 16 + static_cast<uint64_t>(stream));
 }
 
-/// Latest time of each step as a share of a planned stop, in 1/1000.
+/// Latest time of each step as a share of drain_max_ms, in 1/1000.
 constexpr int64_t kDrainServePermille = 350;
 constexpr int64_t kDrainMinPermille = 480;
 constexpr int64_t kDrainRefuseNewPermille = 520;
 constexpr int64_t kDrainRefuseQueuedPermille = 820;
+constexpr int64_t kDrainWriteMaxPermille = 1060;
 
 }  // namespace
 
 void MeshNodeSettings::SetDrainLimit(int64_t max_ms) {
   constexpr int64_t kPermille = 1000;
   drain_max_ms = max_ms;
+  drain_write_max_ms = max_ms * kDrainWriteMaxPermille / kPermille;
   drain_serve_ms =
       std::min(drain_serve_ms, max_ms * kDrainServePermille / kPermille);
   drain_min_ms = std::min(drain_min_ms, max_ms * kDrainMinPermille / kPermille);
@@ -65,6 +67,7 @@
   drain_refuse_new_ms = next.drain_refuse_new_ms;
   drain_refuse_queued_ms = next.drain_refuse_queued_ms;
   drain_max_ms = next.drain_max_ms;
+  drain_write_max_ms = next.drain_write_max_ms;
 }
 
 MeshNode::MeshNode(const MeshNodeSettings& settings, MemberId id, TimeMs now,
@@ -423,9 +426,7 @@
     queued_refused_ = true;
     RefuseQueued(now, actions);
   }
-  bool idle = forwarder_.InFlight() + runner_.InFlight() == 0;
-  bool finished = idle && drained_ms >= settings_.drain_min_ms;
-  if (!finished && drained_ms < settings_.drain_max_ms) return;
+  if (!MayExit(drained_ms)) return;
   exit_sent_ = true;
   LogDrainFinished(now, actions);
   membership_.Announce(now, MemberState::kGone, runner_.Service(), 0);
@@ -435,6 +436,16 @@
   actions->push_back(ReadyToExit{});
 }
 
+/// Whether a planned stop that has taken `drained_ms` ends the process.
+bool MeshNode::MayExit(int64_t drained_ms) const {
+  if (drained_ms >= settings_.drain_write_max_ms) return true;
+  bool writing = pending_output_.responses + pending_output_.link_bytes > 0;
+  if (writing) return false;
+  bool idle =
+      forwarder_.InFlight() + runner_.InFlight() + startup_buffer_.Count() == 0;
+  return drained_ms >= (idle ? settings_.drain_min_ms : settings_.drain_max_ms);
+}
+
 void MeshNode::LogDrainFinished(TimeMs now, Actions* actions) {
   actions->push_back(LogRecord{
       LogLevel::kInfo,
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -46,7 +46,12 @@
   /// Time into a planned stop after which queued requests are refused, in ms,
   /// at this target and at others: they might not finish in time.
   int64_t drain_refuse_queued_ms = 4300;
-  int64_t drain_max_ms = 5200;  ///< Longest planned stop, in ms.
+  /// Time into a planned stop after which requests in progress are given up, in
+  /// ms.
+  int64_t drain_max_ms = 5200;
+  /// Time into a planned stop after which responses that are still being
+  /// written are given up, in ms: the end of the process.
+  int64_t drain_write_max_ms = 5500;
   /// A new version is announced a second time after this, in ms.
   int64_t announcement_repeat_ms = 200;
   MembershipSettings membership;
@@ -57,8 +62,8 @@
   BackendRunnerSettings runner;
   SuspicionStoreSettings suspicion_store;
 
-  /// Sets drain_max_ms and limits the earlier steps of a planned stop so that
-  /// they fit into it.
+  /// Sets drain_max_ms and drain_write_max_ms, and limits the earlier steps of
+  /// a planned stop so that they fit into it.
   void SetDrainLimit(int64_t max_ms);
   /// Copies the settings that need no restart: the retry budget, the steps of a
   /// planned stop and the period of the backend server's reports.
@@ -155,6 +160,7 @@
   void FillVersion(TimeMs now, Datagram* datagram) const;
   void UpdateAnnouncedState(TimeMs now);
   void TickDrain(TimeMs now, Actions* actions);
+  bool MayExit(int64_t drained_ms) const;
   void LogDrainFinished(TimeMs now, Actions* actions);
   /// Whether a planned stop is too far advanced for new requests.
   bool RefusesNew(TimeMs now) const;
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -73,6 +73,7 @@
         settings_stamp_(source->ModificationStamp()),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         tick_(io_),
+        exit_timer_(io_),
         lag_(clock_.Now(), settings_.tick_ms) {}
 
   Result<bool> Start();
@@ -158,6 +159,7 @@
   asio::io_context io_;
   asio::signal_set signals_;
   asio::steady_timer tick_;
+  asio::steady_timer exit_timer_;
   std::unique_ptr<MeshNode> node_;
   ClientHandler client_handler_{this};
   InternalHandler ready_handler_{this, &Impl::HandleReadiness};
@@ -374,9 +376,9 @@
   } else if (auto* record = std::get_if<LogRecord>(&action)) {
     Log(*record);
   } else {
-    tick_.cancel();
-    tick_.expires_after(std::chrono::milliseconds(kShutdownFlushMs));
-    tick_.async_wait([this](boost::system::error_code) { io_.stop(); });
+    // Its own timer: the next tick would cancel the wait.
+    exit_timer_.expires_after(std::chrono::milliseconds(kShutdownFlushMs));
+    exit_timer_.async_wait([this](boost::system::error_code) { io_.stop(); });
   }
 }
 
--- a/standins/mesh_backend.cc
+++ b/standins/mesh_backend.cc
@@ -127,6 +127,8 @@
   answer.headers.emplace_back(wire::header::kRequestId, request_id);
   answer.headers.emplace_back(wire::header::kSignature, "s-" + request_id);
   answer.body = ExpectedResponseBody(request_id, request.target, request.body);
+  if (answer.body.size() < settings_.response_bytes)
+    answer.body.resize(settings_.response_bytes, '.');
   // Without request id and signature the response counts as lost.
   if (invalid) answer = EmptyResponse(200);
   int64_t run_ms = settings_.run_ms / 2 +
--- a/standins/mesh_backend.h
+++ b/standins/mesh_backend.h
@@ -38,6 +38,7 @@
   int slots = 8;
   int64_t run_ms = 20;                     ///< Mean run time, in ms.
   int64_t invalid_response_permille = 20;  ///< Responses without id, in 1/1000.
+  size_t response_bytes = 0;  ///< Least length of a response body, in bytes.
 };
 
 /// Simulated backend server: executes requests, sends heartbeats to its daemon
--- a/tests/mesh_node_test.cc
+++ b/tests/mesh_node_test.cc
@@ -2,6 +2,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
+#include <optional>
+#include <vector>
+
 using namespace banyanloft;
 
 namespace {
@@ -17,13 +21,18 @@
   }
 };
 
-/// Reads every document as version 1.
+/// Reads every document as version 1, with a route to `payments`.
 class FirstVersionReader final : public ConfigurationReader {
  public:
   Result<RouteConfiguration> ReadConfiguration(
       const std::string&) const override {
     RouteConfiguration out;
     out.version = 1;
+    out.services["payments"] = {"payments", 100};
+    out.routes.push_back(HttpRouteBuilder("pay", "a.example", "/pay/")
+                             .To("payments")
+                             .Timeout(3000)
+                             .Build());
     return out;
   }
 };
@@ -143,3 +152,161 @@
   }
   CHECK(watches * 3 > kSpanMs / settings_.config.watch_wait_ms);
 }
+
+/// A daemon in service beside a ready backend server, during a planned stop.
+TEST_GROUP(planned_stop) {
+  MeshNodeSettings settings_ = SingleNodeSettings();
+  FirstVersionReader reader_;
+  MeshNode node_{settings_, 7, TimeMs(0), &reader_};
+  TimeMs now_;
+  std::vector<uint64_t> runs_;        ///< In progress at the backend server.
+  std::vector<ForwardAnswer> peers_;  ///< Sent to peers.
+  std::map<uint64_t, MeshAnswer> answers_;  ///< Sent to clients.
+  std::optional<TimeMs> exit_;
+
+  void setup() override {
+    InstanceReport report;
+    report.id = "i-1";
+    report.sequence = 1;
+    report.service = "payments";
+    report.address = settings_.runner.address;
+    report.slots = 18;
+    Step([&](MeshNode::Actions* actions) {
+      node_.OnReport(now_, report, actions);
+      node_.OnProbed(now_, ProbeResult{true, "i-1", {}}, actions);
+    });
+    Advance(1000);
+    CHECK(node_.Table() != nullptr);
+  }
+  template <typename Event>
+  void Step(Event event) {
+    MeshNode::Actions actions;
+    event(&actions);
+    for (size_t i = 0; i < actions.size(); ++i) {
+      if (const auto* start = std::get_if<StartRun>(&actions[i])) {
+        runs_.push_back(start->run);
+      } else if (const auto* answer = std::get_if<AnswerClient>(&actions[i])) {
+        answers_[answer->request] = answer->answer;
+      } else if (const auto* peer = std::get_if<SendPeer>(&actions[i])) {
+        const auto* sent = std::get_if<ForwardAnswer>(&peer->message);
+        if (sent != nullptr) peers_.push_back(*sent);
+      } else if (const auto* call = std::get_if<PlatformCall>(&actions[i])) {
+        Reply(*call);
+      } else if (std::holds_alternative<ReadyToExit>(actions[i])) {
+        exit_ = now_;
+      }
+    }
+  }
+  void Reply(const PlatformCall& call) {
+    PlatformReply reply;
+    reply.id = call.id;
+    reply.revision = 5;
+    bool reads = call.type == PlatformCall::Type::kList && !call.watch_after &&
+                 call.key == settings_.config.prefix;
+    if (reads) reply.objects.push_back({settings_.config.key, 5, "document"});
+    if (!call.watch_after)
+      Step([&](MeshNode::Actions* actions) {
+        node_.OnStore(now_, reply, actions);
+      });
+  }
+  void Advance(int64_t ms) {
+    for (TimeMs end = now_ + ms; now_ < end;) {
+      now_ = now_ + kTickMs;
+      Step([&](MeshNode::Actions* actions) { node_.Tick(now_, actions); });
+    }
+  }
+  void BeginStop() {
+    Step([&](MeshNode::Actions* actions) { node_.BeginDrain(now_, actions); });
+  }
+  void Ask(uint64_t id) {
+    MeshRequest request;
+    request.request_id = "r-" + std::to_string(id);
+    request.wait_ms = 3000;
+    request.method = "POST";
+    request.host = "a.example";
+    request.target = "/pay/" + std::to_string(id);
+    Step([&](MeshNode::Actions* actions) {
+      node_.OnRequest(now_, id, request, actions);
+    });
+  }
+  void AskAsPeer(uint64_t attempt) {
+    ForwardRequest request;
+    request.attempt = attempt;
+    request.service = "payments";
+    request.route = "pay";
+    request.target = "/pay/" + std::to_string(attempt);
+    request.aim_left_ms = 1000;
+    request.remaining_ms = 3000;
+    Step([&](MeshNode::Actions* actions) {
+      node_.OnPeerMessage(now_, "10.0.0.2:1", request, actions);
+    });
+  }
+  void CheckWaitsFor(const PendingOutput& pending) {
+    BeginStop();
+    node_.SetPendingOutput(pending);
+    Advance(settings_.drain_min_ms + 1000);
+    CHECK(!exit_);
+    node_.SetPendingOutput({});
+    Advance(2 * kTickMs);
+    CHECK(exit_.has_value());
+  }
+  void EndRuns() {
+    for (uint64_t run : runs_) {
+      RunResult result;
+      result.run = run;
+      result.notice = BackendNotice();
+      Step([&](MeshNode::Actions* actions) {
+        node_.OnResult(now_, result, actions);
+      });
+    }
+    runs_.clear();
+  }
+};
+
+/// Guards against a process that exits while it writes a response, of which its
+/// client then gets a part.
+TEST(planned_stop, responseIsBeingWritten_processStaysUntilItIsWritten) {
+  CheckWaitsFor({1, 0});
+}
+
+/// Guards against a process that exits with responses to runs of peers that are
+/// not written to the link yet: the peer cannot tell their outcome then.
+TEST(planned_stop, linkHasUnsentBytes_processStaysUntilTheyAreWritten) {
+  CheckWaitsFor({0, 1});
+}
+
+/// A client that reads too slowly for the grace must not keep the process until
+/// it is killed: that would cut the others as well.
+TEST(planned_stop, outputIsPendingUntilTheEnd_processExitsInTime) {
+  TimeMs began = now_;
+  BeginStop();
+  node_.SetPendingOutput({1, 0});
+  Advance(settings_.drain_max_ms + kTickMs);
+  CHECK(!exit_);
+  Advance(settings_.drain_write_max_ms - settings_.drain_max_ms);
+  CHECK(exit_.has_value());
+  CHECK(*exit_ - began <= settings_.drain_write_max_ms + kTickMs);
+}
+
+/// Requests that are held until the first configuration count as in progress.
+TEST(planned_stop, requestIsHeld_isAnsweredBeforeTheExit) {
+  MeshNodeSettings settings = settings_;
+  settings.SetDrainLimit(400);
+  RejectingReader reader;
+  MeshNode node(settings, 7, now_, &reader);
+  MeshNode::Actions actions;
+  node.BeginDrain(now_, &actions);
+  MeshRequest request;
+  request.wait_ms = 3000;
+  node.OnRequest(now_ + settings.drain_min_ms / 2, 1, request, &actions);
+  bool answered = false;
+  bool exit = false;
+  for (int64_t ms = kTickMs; !exit; ms += kTickMs) {
+    node.Tick(now_ + ms, &actions);
+    for (const MeshNodeAction& action : actions) {
+      answered = answered || std::holds_alternative<AnswerClient>(action);
+      exit = exit || std::holds_alternative<ReadyToExit>(action);
+    }
+  }
+  CHECK(answered);
+}
