A daemon that has decided to exit refuses new requests

Cause: exit and refusal are two decisions. An idle daemon exits from drain_min_ms (2.5 s) on, and refused new requests from drain_refuse_new_ms (2.7 s) on only.

Evidence: planned_stop/exitIsDecided_newRequestsAreRefusedUnrun failed before (the request was not refused), passes now.

--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -118,7 +118,8 @@
 }
 
 bool MeshNode::RefusesNew(TimeMs now) const {
-  return draining_ && now - drain_began_ >= settings_.drain_refuse_new_ms;
+  return exit_sent_ ||
+         (draining_ && now - drain_began_ >= settings_.drain_refuse_new_ms);
 }
 
 bool MeshNode::BufferRequest(TimeMs now, uint64_t request, MeshRequest* message,
--- a/tests/mesh_node_test.cc
+++ b/tests/mesh_node_test.cc
@@ -288,6 +288,17 @@
   CHECK(*exit_ - began <= settings_.drain_write_max_ms + kTickMs);
 }
 
+/// Guards against a request that is passed on after the process has decided to
+/// exit, and is cut by that.
+TEST(planned_stop, exitIsDecided_newRequestsAreRefusedUnrun) {
+  BeginStop();
+  while (!exit_) Advance(kTickMs);
+  Ask(1);
+  LONGS_EQUAL(0, runs_.size());
+  CHECK(answers_.at(1).error == ErrorKind::kDraining);
+  CHECK(answers_.at(1).run_state == RunState::kNotRun);
+}
+
 /// Requests that are held until the first configuration count as in progress.
 TEST(planned_stop, requestIsHeld_isAnsweredBeforeTheExit) {
   MeshNodeSettings settings = settings_;
