A stopping daemon refuses requests of peers late in its grace

Peers are told after 1.8 s; one that has missed it, for example by lost datagrams, goes on sending.

Cause: only new requests of the daemon's own clients are refused from drain_refuse_new_ms on; requests of peers take another way in.

Change: from the same moment the runner refuses everything new as not run, so that the peer can choose another target.

Evidence: planned_stop/peerAsksAfterNewRequestsAreRefused_isRefusedUnrun failed before (3 runs, 2 expected), passes now.

--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -110,6 +110,7 @@
 
 std::optional<ErrorKind> BackendRunner::CheckNew(TimeMs now,
                                                  const Work& work) const {
+  if (!accepting_) return ErrorKind::kDraining;
   switch (registry_.State()) {
     case InstanceState::kUnknown:
       return ErrorKind::kBackendUnavailable;
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -132,6 +132,8 @@
   /// An attempt is cancelled.
   void OnCancel(TimeMs now, const std::string& from_link,
                 const CancelForward& cancel, Actions* actions);
+  /// Refuses all requests from now on because this process stops soon.
+  void StopAccepting() { accepting_ = false; }
   /// Refuses all queued requests because this process stops soon.
   void RefuseQueued(TimeMs now, Actions* actions);
   /// The link to a peer was lost: cancels all of its attempts.
@@ -226,6 +228,7 @@
   InstanceRegistry registry_;
   AdmissionController admission_;
   CrashGuard crash_guard_;
+  bool accepting_ = true;
   uint64_t next_work_ = 1;
   std::map<uint64_t, Work> works_;
   std::map<ForwardOrigin, uint64_t> work_by_origin_;
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -427,8 +427,9 @@
     queued_refused_ = true;
     RefuseQueued(now, actions);
   }
-  if (!MayExit(drained_ms)) return;
-  exit_sent_ = true;
+  exit_sent_ = MayExit(drained_ms);
+  if (RefusesNew(now)) runner_.StopAccepting();
+  if (!exit_sent_) return;
   LogDrainFinished(now, actions);
   membership_.Announce(now, MemberState::kGone, runner_.Service(), 0);
   std::vector<DatagramOut> datagrams;
--- a/tests/mesh_node_test.cc
+++ b/tests/mesh_node_test.cc
@@ -299,6 +299,26 @@
   CHECK(answers_.at(1).run_state == RunState::kNotRun);
 }
 
+/// Guards against runs that a peer starts late in the grace, because it has
+/// missed that this instance stops: they would be cut at its end.
+TEST(planned_stop, peerAsksAfterNewRequestsAreRefused_isRefusedUnrun) {
+  Ask(1);
+  LONGS_EQUAL(1, runs_.size());  // Keeps the process in progress.
+  BeginStop();
+  Advance(settings_.drain_refuse_new_ms - 2 * kTickMs);
+  AskAsPeer(2);
+  LONGS_EQUAL(2, runs_.size());
+  Advance(4 * kTickMs);
+  AskAsPeer(3);
+  LONGS_EQUAL(2, runs_.size());
+  LONGS_EQUAL(1, peers_.size());
+  CHECK(peers_.front().error == ErrorKind::kDraining);
+  CHECK(peers_.front().run_state == RunState::kNotRun);
+  EndRuns();
+  Advance(2 * kTickMs);
+  CHECK(exit_.has_value());
+}
+
 /// Requests that are held until the first configuration count as in progress.
 TEST(planned_stop, requestIsHeld_isAnsweredBeforeTheExit) {
   MeshNodeSettings settings = settings_;
