A late report of an address's earlier server needs a health check

An address that a server of another service has released belongs to a new one. A daemon that has just restarted knows the new one from a health check only, and took a late report of the earlier one for a newer start: it announced the earlier service, and each request for it got 421 (not run) until a health check put things right.

Evidence from before the start of the process is taken as evidence of the present; with an unknown start, older and newer cannot be told apart.

Change: a report of another start needs a health check if the start of the known server is unknown.

Evidence: instance_registry/lateReportOfTheAddressesEarlierServer_isNotUsed failed before (state ready), passes now; instance_registry, leaving_server and backend_runner pass.

--- a/banyanloft/mesh/instance_registry.cc
+++ b/banyanloft/mesh/instance_registry.cc
@@ -34,8 +34,8 @@
          state_ == InstanceState::kReady;
 }
 
-/// A server leaves whose start is unknown: reports cannot be told from those of
-/// a server that starts afterwards under its id.
+/// If the start of the known server is unknown, a report that is older cannot
+/// be told from one of a server that started afterwards.
 void InstanceRegistry::RequireConfirmation(TimeMs now) {
   if (last_.start_time_ms != 0) return;
   confirmed_ = false;
@@ -62,8 +62,10 @@
     return Change::kIgnored;
   }
 
-  reported_at_ = now;
   bool was_known = !last_.id.empty();
+  // Either may be the later start.
+  if (was_known && !same_start) RequireConfirmation(now);
+  reported_at_ = now;
   InstanceReport before = last_;
   InstanceState state_before = state_;
   last_ = report;
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -104,6 +104,19 @@
   CHECK(registry_.State() == InstanceState::kGone);
 }
 
+// The address was released by a server of another service and belongs to this
+// one, which the daemon knows from a health check. A late report of the earlier
+// server must not put it back in its place.
+TEST(instance_registry, lateReportOfTheAddressesEarlierServer_isNotUsed) {
+  registry_.OnHealthy(TimeMs(0), "i-2", "s");
+  registry_.OnReport(TimeMs(900), ReportOf(21));
+  CHECK(registry_.State() == InstanceState::kUnknown);
+  CHECK(registry_.NeedsHealthCheck());
+  registry_.OnHealthy(TimeMs(910), "i-2", "s");
+  CHECK(registry_.State() == InstanceState::kReady);
+  STRCMP_EQUAL("i-2", registry_.Last().id.c_str());
+}
+
 // The daemon restarts beside a running server. Taken for a restart of the
 // server, its first report would blame the runs that broke with the old daemon
 // for a crash.
