A stopping daemon answers what it gives up

Seen by callers: requests that are still at a backend server when a planned stop reaches its end have their connections closed, without an answer and without a log line with their id ("at the end of the grace they were cut with no answer").

Cause: the exit ends the process and leaves the Forwarder's requests to the destructors.

Change: the requests in progress end as every other failure does: logged by id as request_failed error=draining, answered 502 if they may have run, 503 if not.

Evidence: planned_stop/requestIsInProgressAtTheEnd_isAnsweredAsUnknown failed before (no answer), passes now, with the other six of planned_stop.

--- a/banyanloft/mesh/forwarder.cc
+++ b/banyanloft/mesh/forwarder.cc
@@ -376,6 +376,14 @@
   }
 }
 
+void Forwarder::GiveUpAll(TimeMs now, Actions* actions) {
+  while (!requests_.empty()) {
+    auto& [id, pending] = *requests_.begin();
+    pending.maybe_ran = pending.maybe_ran || !pending.open.empty();
+    Fail(now, id, ErrorKind::kDraining, actions);
+  }
+}
+
 void Forwarder::OnAbandoned(TimeMs now, uint64_t id, Actions* actions) {
   auto it = requests_.find(id);
   if (it == requests_.end()) return;
--- a/banyanloft/mesh/forwarder.h
+++ b/banyanloft/mesh/forwarder.h
@@ -123,6 +123,8 @@
   /// Begins a planned stop that ends at `end`. Attempts sent from now on have
   /// their aim limited to that time.
   void BeginStop(TimeMs end) { stop_at_ = end; }
+  /// Ends all requests, because this process exits.
+  void GiveUpAll(TimeMs now, Actions* actions);
   /// Asks the targets to refuse every attempt that is still queued there. The
   /// refused requests fail without a retry, because this process exits before
   /// another target could serve them.
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -431,6 +431,9 @@
   if (RefusesNew(now)) runner_.StopAccepting();
   if (!exit_sent_) return;
   LogDrainFinished(now, actions);
+  Forwarder::Actions requests;
+  forwarder_.GiveUpAll(now, &requests);
+  DispatchForwarder(now, std::move(requests), actions);
   membership_.Announce(now, MemberState::kGone, runner_.Service(), 0);
   std::vector<DatagramOut> datagrams;
   membership_.Tick(now, &datagrams);
