--- a/standins/mesh_backend.cc
+++ b/standins/mesh_backend.cc
@@ -61,7 +61,7 @@
 
 Result<Endpoint> MeshBackend::Start() {
   Result<Endpoint> started = server_.Start();
-  if (ErrorOf(started) == nullptr) SendHeartbeat();
+  if (ErrorOf(started) == nullptr) SendHeartbeats();
   return started;
 }
 
@@ -81,7 +81,7 @@
   if (limit_per_s_)
     response.headers.emplace_back(wire::header::kRateLimit,
                                   std::to_string(*limit_per_s_));
-  if (draining_) {
+  if (draining_ && settings_.names_leaving) {
     response.headers.emplace_back(wire::header::kLeaving, "1");
     if (!leaving_said_at_) leaving_said_at_ = SteadyClock().Now();
   }
@@ -149,8 +149,7 @@
   });
 }
 
-void MeshBackend::SendHeartbeat() {
-  if (unreported_) return;
+HttpRequest MeshBackend::NextHeartbeat() {
   HttpRequest heartbeat;
   heartbeat.method = "PUT";
   heartbeat.target = wire::path::kInstances + settings_.id;
@@ -163,16 +162,45 @@
                {"born", start_time_ms_},
                {"sequence", ++sequence_}};
   heartbeat.body = body.dump();
-  bool reports_drain = draining_;
-  control_.Send(static_cast<uint64_t>(sequence_), std::move(heartbeat),
-                kHeartbeatTimeoutMs,
-                [this, reports_drain](HttpOutcome outcome) {
+  return heartbeat;
+}
+
+/// Sends a heartbeat or a deregistration; `leaves`: it says that the server
+/// leaves.
+void MeshBackend::SendToDaemon(HttpRequest message, bool leaves) {
+  control_.Send(++last_message_, std::move(message), kHeartbeatTimeoutMs,
+                [this, leaves](HttpOutcome outcome) {
                   bool ok = !outcome.failure && outcome.response.status == 200;
-                  if (!ok || !reports_drain || drain_acknowledged_) return;
+                  if (!ok || !leaves || drain_acknowledged_) return;
                   drain_acknowledged_ = true;
                   drain_acknowledged_at_ = SteadyClock().Now();
                 });
-  RunAfter(kHeartbeatIntervalMs, [this] { SendHeartbeat(); });
+}
+
+void MeshBackend::SendHeartbeats() {
+  if (unreported_) return;
+  HttpRequest heartbeat = NextHeartbeat();
+  bool leaves = draining_;
+  if (heartbeat_delay_ms_ == 0) {
+    SendToDaemon(std::move(heartbeat), leaves);
+  } else {
+    RunAfter(heartbeat_delay_ms_,
+             [this, heartbeat, leaves] { SendToDaemon(heartbeat, leaves); });
+  }
+  RunAfter(kHeartbeatIntervalMs, [this] { SendHeartbeats(); });
+}
+
+void MeshBackend::Deregister() {
+  LeaveUnreported();
+  HttpRequest message;
+  message.method = "DELETE";
+  message.target = wire::path::kInstances + settings_.id;
+  SendToDaemon(std::move(message), true);
+}
+
+void MeshBackend::ReportDrainingOnce() {
+  LeaveUnreported();
+  SendToDaemon(NextHeartbeat(), true);
 }
 
 }  // namespace banyanloft
--- a/standins/mesh_backend.h
+++ b/standins/mesh_backend.h
@@ -39,6 +39,8 @@
   int64_t run_ms = 20;                     ///< Mean run time, in ms.
   int64_t invalid_response_permille = 20;  ///< Responses without id, in 1/1000.
   size_t response_bytes = 0;  ///< Least length of a response body, in bytes.
+  /// Says in every response that it leaves; otherwise only health checks fail.
+  bool names_leaving = true;
 };
 
 /// Simulated backend server: executes requests, sends heartbeats to its daemon
@@ -53,6 +55,13 @@
   /// Drains without a report: only its responses say so, and no further
   /// heartbeats are sent.
   void LeaveUnreported();
+  /// Deregisters and sends no further heartbeats.
+  void Deregister();
+  /// Reports once that it drains, without delay, and sends no further
+  /// heartbeats.
+  void ReportDrainingOnce();
+  /// Further heartbeats take this time to arrive, in ms.
+  void DelayHeartbeats(int64_t ms) { heartbeat_delay_ms_ = ms; }
   /// Names a limit of requests per second in all responses; empty: none.
   void SetLimit(std::optional<double> per_s);
   /// Requests that exceeded the limit by more than the platform allows.
@@ -72,7 +81,9 @@
   void Run(uint64_t id, const HttpRequest& request);
   void Reply(uint64_t id, HttpResponse response);
   void CountArrival();
-  void SendHeartbeat();
+  void SendHeartbeats();
+  HttpRequest NextHeartbeat();
+  void SendToDaemon(HttpRequest message, bool leaves);
   void RunAfter(int64_t ms, std::function<void()> callback);
 
   boost::asio::io_context& io_;
@@ -86,11 +97,13 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   int64_t start_time_ms_;
   int64_t sequence_ = 0;
+  uint64_t last_message_ = 0;  ///< Id of the last message to the daemon.
   bool draining_ = false;
   bool drain_acknowledged_ = false;
   TimeMs drain_acknowledged_at_;
   int late_requests_ = 0;
   bool unreported_ = false;
+  int64_t heartbeat_delay_ms_ = 0;
   std::optional<TimeMs> leaving_said_at_;
   std::optional<double> limit_per_s_;
   TimeMs limit_binds_at_;
--- a/tests/planned_stop_processes_test.cc
+++ b/tests/planned_stop_processes_test.cc
@@ -3,25 +3,12 @@
 // long requests, slow bodies and slow readers.
 
 #include <CppUTest/TestHarness.h>
-#include <arpa/inet.h>
 #include <fmt/format.h>
-#include <netinet/tcp.h>
-#include <stdlib.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
-#include <chrono>
 #include <csignal>
-#include <cstring>
-#include <filesystem>
-#include <fstream>
 #include <map>
-#include <memory>
 #include <mutex>
 #include <set>
 #include <string>
@@ -29,23 +16,18 @@
 #include <vector>
 
 #include "platform/wire_names.h"
-#include "soak/daemon_process.h"
-#include "standins/mesh_backend.h"
 #include "standins/mesh_configuration.h"
-#include "standins/mesh_store.h"
+#include "tests/client_connection.h"
+#include "tests/process_fleet.h"
 
 using namespace banyanloft;
 
 namespace {
 
-namespace asio = boost::asio;
 namespace wire = banyanloft::platform;
 
-constexpr int64_t kFirstPort = 26000;
-constexpr int64_t kPortsPerInstance = 10;
 constexpr int64_t kStartupMs = 4500;
 constexpr int64_t kClientTimeoutMs = 4000;
-constexpr size_t kSmallReceiveBuffer = 32 * 1024;
 
 TimeMs Now() { return SteadyClock().Now(); }
 
@@ -55,21 +37,16 @@
 
 /// One load and one way to stop.
 struct StopPlan {
-  int instances = 4;
-  int instances_per_zone = 2;
+  ProcessFleetSettings fleet;
   std::vector<int> stopped = {0};  ///< Indexes of the daemons that are stopped.
-  std::string bounds = "\"grace_s=6\"";
   int64_t grace_ms = 6000;
-  int64_t run_ms = 20;        ///< Mean run time, in ms.
-  size_t response_bytes = 0;  ///< Least length of responses.
-  int clients = 6;            ///< For each daemon.
-  int64_t period_ms = 50;     ///< Pause of a client between requests, in ms.
+  int clients = 6;         ///< For each daemon.
+  int64_t period_ms = 50;  ///< Pause of a client between requests, in ms.
   bool keep_connections = true;
   int64_t body_ms = 0;        ///< Time that a client takes to send a body.
   int64_t read_pause_ms = 0;  ///< Pause of a client between reads, in ms.
   int64_t traffic_before_ms = 1500;
   int64_t stop_after_start_ms = -1;  ///< Stops then, without a start-up phase.
-  bool store_down = false;           ///< From the start on.
   /// Further signals and their time after SIGTERM, in ms.
   std::vector<std::pair<int64_t, int>> signals;
 };
@@ -96,119 +73,22 @@
   bool killed = false;  ///< A daemon had to be killed after its grace.
 };
 
-/// A client connection with blocking calls.
-class ClientConnection {
- public:
-  ~ClientConnection() { Close(); }
-
-  bool Open(uint16_t port, bool small_buffer) {
-    Close();
-    socket_ = socket(AF_INET, SOCK_STREAM, 0);
-    if (small_buffer) {
-      int bytes = kSmallReceiveBuffer;
-      setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
-      // Loopback's long segments would let the sender buffer a whole response.
-      int segment_bytes = 1448;
-      setsockopt(socket_, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes,
-                 sizeof(segment_bytes));
-    }
-    int on = 1;
-    setsockopt(socket_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    timeval timeout{kClientTimeoutMs / 1000, 0};
-    setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    if (connect(socket_, reinterpret_cast<sockaddr*>(&address),
-                sizeof(address)) == 0)
-      return true;
-    Close();
-    return false;
-  }
-  bool IsOpen() const { return socket_ >= 0; }
-  /// Whether the server has closed the connection, or sent unasked bytes.
-  bool IsStale() const {
-    char byte = 0;
-    return recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
-  }
-  bool Write(const std::string& text) {
-    size_t done = 0;
-    while (done < text.size()) {
-      ssize_t wrote =
-          send(socket_, text.data() + done, text.size() - done, MSG_NOSIGNAL);
-      if (wrote <= 0) return false;
-      done += static_cast<size_t>(wrote);
-    }
-    return true;
-  }
-  /// Reads a response with a length; sets `status` once the head is complete.
-  bool ReadResponse(int64_t pause_ms, int* status) {
-    std::string input;
-    size_t end = std::string::npos;
-    while (end == std::string::npos) {
-      if (!ReadSome(&input)) return false;
-      end = input.find("\r\n\r\n");
-    }
-    *status = std::atoi(input.c_str() + std::strlen("HTTP/1.1 "));
-    std::string head = input.substr(0, end);
-    std::transform(head.begin(), head.end(), head.begin(), ::tolower);
-    closes_ = head.find("connection: close") != std::string::npos;
-    size_t length_at = head.find("content-length:");
-    if (length_at == std::string::npos) return false;
-    size_t length = std::strtoul(
-        head.c_str() + length_at + std::strlen("content-length:"), nullptr, 10);
-    size_t body = input.size() - end - 4;
-    while (body < length) {
-      if (pause_ms > 0) SleepMs(pause_ms);
-      input.clear();
-      if (!ReadSome(&input)) return false;
-      body += input.size();
-    }
-    return true;
-  }
-  bool Closes() const { return closes_; }
-  void Close() {
-    if (socket_ >= 0) close(socket_);
-    socket_ = -1;
-    closes_ = false;
-  }
-
- private:
-  bool ReadSome(std::string* input) {
-    char buffer[16 * 1024];
-    ssize_t got = recv(socket_, buffer, sizeof(buffer), 0);
-    if (got <= 0) return false;
-    input->append(buffer, static_cast<size_t>(got));
-    return true;
-  }
-
-  int socket_ = -1;
-  bool closes_ = false;
-};
-
 /// Runs a StopPlan and checks what its clients and backend servers see.
 class PlannedStopRun final : public BackendObserver {
  public:
   explicit PlannedStopRun(const StopPlan& plan)
-      : plan_(plan),
-        store_(io_, {"127.0.0.1", static_cast<uint16_t>(kFirstPort)}, 1) {
-    char name[] = "/tmp/planned-stop-XXXXXX";
-    dir_ = mkdtemp(name);
-  }
-  ~PlannedStopRun() override { std::filesystem::remove_all(dir_); }
+      : plan_(plan), fleet_(plan.fleet, this) {}
 
   Verdict Run() {
     Verdict verdict;
-    if (!StartAll()) {
+    if (!fleet_.Start()) {
       FAIL("the stand-ins or daemons cannot be started");
       return verdict;
     }
-    std::thread loop([this] { io_.run(); });
     bool at_start = plan_.stop_after_start_ms >= 0;
     if (!at_start) SleepMs(kStartupMs);
     std::vector<std::thread> clients;
-    for (int i = 0; i < plan_.instances; ++i) {
+    for (int i = 0; i < plan_.fleet.instances; ++i) {
       for (int c = 0; c < plan_.clients; ++c)
         clients.emplace_back([this, i, c] { RunClient(i, c); });
     }
@@ -216,9 +96,7 @@
     StopDaemons(&verdict);
     done_ = true;
     for (std::thread& client : clients) client.join();
-    for (auto& daemon : daemons_) daemon->Signal(SIGKILL);
-    asio::post(io_, [this] { io_.stop(); });
-    loop.join();
+    fleet_.Stop();
     Check(&verdict);
     return verdict;
   }
@@ -230,61 +108,10 @@
     ++runs_[id];
   }
 
-  static int64_t PortOf(int instance, int offset) {
-    return kFirstPort + kPortsPerInstance * (instance + 1) + offset;
-  }
-  static Endpoint AddressOf(int instance, int offset) {
-    return {"127.0.0.1", static_cast<uint16_t>(PortOf(instance, offset))};
-  }
-  std::string PathOf(int instance, const char* extension) const {
-    return fmt::format("{}/sidecar-{}.{}", dir_, instance, extension);
-  }
-
-  bool StartAll() {
-    bool ok = ErrorOf(store_.Start()) == nullptr;
-    store_.Put("config", "main", MeshConfiguration(1, {}));
-    if (plan_.store_down) store_.SetFault(StoreFault::kUnavailable);
-    for (int i = 0; i < plan_.instances; ++i) {
-      std::string service = i % 2 == 0 ? "catalogue" : "pledges";
-      WriteSettings(i, service);
-      MeshBackendSettings backend;
-      backend.id = fmt::format("i-{}", i);
-      backend.service = service;
-      backend.listen = backend.advertised = AddressOf(i, 4);
-      backend.control = AddressOf(i, 3);
-      backend.seed = static_cast<uint64_t>(i) + 1;
-      backend.slots = 18;
-      backend.run_ms = plan_.run_ms;
-      backend.invalid_response_permille = 0;
-      backend.response_bytes = plan_.response_bytes;
-      backends_.push_back(std::make_unique<MeshBackend>(io_, backend, this));
-      ok = ok && ErrorOf(backends_.back()->Start()) == nullptr;
-      daemons_.push_back(std::make_unique<soak::DaemonProcess>());
-      ok = ok &&
-           daemons_.back()->Start(
-               {BANYANLOFT_BUILD_DIR "/banyanloft_sidecar", PathOf(i, "toml")},
-               PathOf(i, "log"));
-    }
-    return ok;
-  }
-
-  void WriteSettings(int i, const std::string& service) const {
-    std::ofstream file(PathOf(i, "toml"));
-    file << fmt::format(
-        "node_name = \"sidecar-{0}\"\nip = \"127.0.0.1\"\nzone = \"z{1}\"\n"
-        "internal_ports = [{2},{3}]\nheartbeat_interval_s = 0.5\n"
-        "bounds = [{4}]\napp_addr = \"{5}\"\nservice = \"{6}\"\n[listen]\n"
-        "outbound = \"{7}\"\nready = \"{8}\"\ncontrol = \"{9}\"\n"
-        "[platform]\naddress = \"127.0.0.1:{10}\"\n",
-        i, i / plan_.instances_per_zone, PortOf(i, 5), PortOf(i, 6),
-        plan_.bounds, AddressOf(i, 4).Text(), service, AddressOf(i, 1).Text(),
-        AddressOf(i, 2).Text(), AddressOf(i, 3).Text(), kFirstPort);
-  }
-
   /// Sends one request after the other until the run is over.
   void RunClient(int instance, int client) {
     ClientConnection connection;
-    uint16_t port = AddressOf(instance, 1).port;
+    uint16_t port = fleet_.Clients(instance).port;
     bool stopped =
         std::count(plan_.stopped.begin(), plan_.stopped.end(), instance) > 0;
     for (int number = 0; !done_; ++number) {
@@ -332,7 +159,7 @@
   /// Sends the signals of the plan and waits for the exits.
   void StopDaemons(Verdict* verdict) {
     stop_at_ = Now();
-    for (int i : plan_.stopped) daemons_[Index(i)]->Signal(SIGTERM);
+    for (int i : plan_.stopped) fleet_.Daemon(i).Signal(SIGTERM);
     auto signals = plan_.signals;
     std::set<int> running(plan_.stopped.begin(), plan_.stopped.end());
     while (!running.empty()) {
@@ -340,12 +167,12 @@
       int64_t elapsed_ms = Now() - stop_at_;
       for (int i : std::vector<int>(running.begin(), running.end())) {
         if (!signals.empty() && elapsed_ms >= signals.front().first)
-          daemons_[Index(i)]->Signal(signals.front().second);
+          fleet_.Daemon(i).Signal(signals.front().second);
         if (elapsed_ms >= plan_.grace_ms) {
           verdict->killed = true;
-          daemons_[Index(i)]->Signal(SIGKILL);
+          fleet_.Daemon(i).Signal(SIGKILL);
         }
-        if (!daemons_[Index(i)]->Reap()) continue;
+        if (!fleet_.Daemon(i).Reap()) continue;
         running.erase(i);
         verdict->exit_ms = elapsed_ms;
       }
@@ -354,8 +181,6 @@
     }
   }
 
-  static size_t Index(int i) { return static_cast<size_t>(i); }
-
   void Check(Verdict* verdict) {
     for (const auto& [id, seen] : seen_) {
       auto found = runs_.find(id);
@@ -380,13 +205,7 @@
   }
 
   StopPlan plan_;
-  std::string dir_;
-  asio::io_context io_;
-  asio::executor_work_guard<asio::io_context::executor_type> work_{
-      io_.get_executor()};
-  MeshStore store_;
-  std::vector<std::unique_ptr<MeshBackend>> backends_;
-  std::vector<std::unique_ptr<soak::DaemonProcess>> daemons_;
+  ProcessFleet fleet_;
   std::atomic<bool> done_{false};
   std::mutex mutex_;  ///< Guards the two maps below.
   std::map<std::string, int> runs_;
@@ -427,7 +246,7 @@
 }
 
 TEST(planned_stop_processes, longRequestsOnNewConnections_noneIsCut) {
-  plan_.run_ms = 900;
+  plan_.fleet.backend.run_ms = 900;
   plan_.keep_connections = false;
   CheckPromises();
 }
@@ -435,41 +254,41 @@
 /// Guards against a daemon that exits while it still writes responses, to its
 /// clients or to the daemons of clients elsewhere.
 TEST(planned_stop_processes, largeResponsesToSlowReaders_noneIsCut) {
-  plan_.run_ms = 900;
-  plan_.response_bytes = 1000 * 1000;
+  plan_.fleet.backend.run_ms = 900;
+  plan_.fleet.backend.response_bytes = 1000 * 1000;
   plan_.read_pause_ms = 10;
   CheckPromises();
 }
 
 TEST(planned_stop_processes, largeResponsesToPeers_noneIsCut) {
-  plan_.run_ms = 300;
-  plan_.response_bytes = 1000 * 1000;
+  plan_.fleet.backend.run_ms = 300;
+  plan_.fleet.backend.response_bytes = 1000 * 1000;
   CheckPromises();
 }
 
 TEST(planned_stop_processes, bodiesThatTakeLong_noneIsCut) {
   plan_.body_ms = 700;
-  plan_.run_ms = 300;
+  plan_.fleet.backend.run_ms = 300;
   CheckPromises();
 }
 
 TEST(planned_stop_processes, wholeZoneStops_noneIsCut) {
-  plan_.instances = 6;
+  plan_.fleet.instances = 6;
   plan_.stopped = {0, 1};
-  plan_.run_ms = 300;
+  plan_.fleet.backend.run_ms = 300;
   CheckPromises();
 }
 
 /// The zone has no other daemon, so its clients cannot go elsewhere.
 TEST(planned_stop_processes, zoneHasNoOtherDaemon_noneIsCut) {
-  plan_.instances_per_zone = 1;
-  plan_.run_ms = 600;
+  plan_.fleet.instances_per_zone = 1;
+  plan_.fleet.backend.run_ms = 600;
   plan_.keep_connections = false;
   CheckPromises();
 }
 
 TEST(planned_stop_processes, signalsRepeat_noneIsCut) {
-  plan_.run_ms = 600;
+  plan_.fleet.backend.run_ms = 600;
   plan_.signals = {{500, SIGTERM}, {900, SIGHUP}, {2400, SIGTERM}};
   CheckPromises();
 }
@@ -481,20 +300,20 @@
 
 TEST(planned_stop_processes, noConfigurationYet_noneIsCut) {
   plan_.stop_after_start_ms = 400;
-  plan_.store_down = true;
+  plan_.fleet.store_down = true;
   CheckPromises();
 }
 
 TEST(planned_stop_processes, shortGrace_noneIsCut) {
-  plan_.bounds = "\"grace_s=3\"";
+  plan_.fleet.bounds = "\"grace_s=3\"";
   plan_.grace_ms = 3000;
-  plan_.run_ms = 200;
+  plan_.fleet.backend.run_ms = 200;
   CheckPromises();
 }
 
 TEST(planned_stop_processes, longGrace_noneIsCut) {
-  plan_.bounds = "\"grace_s=10\"";
+  plan_.fleet.bounds = "\"grace_s=10\"";
   plan_.grace_ms = 10000;
-  plan_.run_ms = 600;
+  plan_.fleet.backend.run_ms = 600;
   CheckPromises();
 }
--- /dev/null
+++ b/tests/process_fleet.cc
@@ -0,0 +1,141 @@
+#include "tests/process_fleet.h"
+
+#include <fmt/format.h>
+#include <stdlib.h>
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <future>
+
+#include "standins/mesh_configuration.h"
+
+namespace banyanloft {
+namespace {
+
+constexpr int kSlots = 18;
+constexpr int64_t kReapPeriodMs = 2;
+
+}  // namespace
+
+ProcessFleet::ProcessFleet(const ProcessFleetSettings& settings,
+                           BackendObserver* observer)
+    : settings_(settings),
+      observer_(observer),
+      store_(io_, {"127.0.0.1", static_cast<uint16_t>(settings.first_port)},
+             1) {
+  char name[] = "/tmp/process-fleet-XXXXXX";
+  const char* made = mkdtemp(name);
+  if (made != nullptr) dir_ = made;
+}
+
+ProcessFleet::~ProcessFleet() {
+  Stop();
+  if (!dir_.empty()) std::filesystem::remove_all(dir_);
+}
+
+int64_t ProcessFleet::PortOf(int instance, int offset) const {
+  return settings_.first_port + kPortsPerInstance * (instance + 1) + offset;
+}
+
+Endpoint ProcessFleet::AddressOf(int instance, int offset) const {
+  return {"127.0.0.1", static_cast<uint16_t>(PortOf(instance, offset))};
+}
+
+std::string ProcessFleet::PathOf(int instance, const char* extension) const {
+  return fmt::format("{}/sidecar-{}.{}", dir_, instance, extension);
+}
+
+const char* ProcessFleet::ServiceOf(int instance) {
+  return instance % 2 == 0 ? "catalogue" : "pledges";
+}
+
+void ProcessFleet::WriteSettings(int instance) const {
+  std::ofstream file(PathOf(instance, "toml"));
+  file << fmt::format(
+      "node_name = \"sidecar-{0}\"\nip = \"127.0.0.1\"\nzone = \"z{1}\"\n"
+      "internal_ports = [{2},{3}]\nheartbeat_interval_s = 0.5\n"
+      "bounds = [{4}]\napp_addr = \"{5}\"\nservice = \"{6}\"\n[listen]\n"
+      "outbound = \"{7}\"\nready = \"{8}\"\ncontrol = \"{9}\"\n"
+      "[platform]\naddress = \"127.0.0.1:{10}\"\n",
+      instance, instance / settings_.instances_per_zone, PortOf(instance, 5),
+      PortOf(instance, 6), settings_.bounds, AddressOf(instance, 4).Text(),
+      ServiceOf(instance), AddressOf(instance, 1).Text(),
+      AddressOf(instance, 2).Text(), AddressOf(instance, 3).Text(),
+      settings_.first_port);
+}
+
+bool ProcessFleet::Start() {
+  if (dir_.empty() || ErrorOf(store_.Start()) != nullptr) return false;
+  store_.Put("config", "main", MeshConfiguration(1, {}));
+  if (settings_.store_down) store_.SetFault(StoreFault::kUnavailable);
+  backends_.resize(static_cast<size_t>(settings_.instances));
+  for (int i = 0; i < settings_.instances; ++i) {
+    WriteSettings(i);
+    daemons_.push_back(std::make_unique<soak::DaemonProcess>());
+    if (!StartBackend(i) || !StartDaemon(i)) return false;
+  }
+  loop_ = std::thread([this] { io_.run(); });
+  return true;
+}
+
+void ProcessFleet::Stop() {
+  daemons_.clear();
+  if (!loop_.joinable()) return;
+  boost::asio::post(io_, [this] { io_.stop(); });
+  loop_.join();
+}
+
+bool ProcessFleet::StartDaemon(int instance) {
+  return Daemon(instance).Start(
+      {BANYANLOFT_BUILD_DIR "/banyanloft_sidecar", PathOf(instance, "toml")},
+      PathOf(instance, "log"));
+}
+
+soak::DaemonProcess& ProcessFleet::Daemon(int instance) {
+  return *daemons_[static_cast<size_t>(instance)];
+}
+
+void ProcessFleet::KillDaemon(int instance) {
+  Daemon(instance).Signal(SIGKILL);
+  while (Daemon(instance).Running() && !Daemon(instance).Reap())
+    std::this_thread::sleep_for(std::chrono::milliseconds(kReapPeriodMs));
+}
+
+void ProcessFleet::Call(const std::function<void()>& function) {
+  std::promise<void> called;
+  boost::asio::post(io_, [&] {
+    function();
+    called.set_value();
+  });
+  called.get_future().wait();
+}
+
+MeshBackend& ProcessFleet::Backend(int instance) {
+  return *backends_[static_cast<size_t>(instance)];
+}
+
+bool ProcessFleet::StartBackend(int instance) {
+  MeshBackendSettings backend = settings_.backend;
+  backend.id = fmt::format("i-{}", instance);
+  backend.service = ServiceOf(instance);
+  backend.listen = backend.advertised = AddressOf(instance, 4);
+  backend.control = AddressOf(instance, 3);
+  backend.seed = static_cast<uint64_t>(instance) + 1;
+  backend.slots = kSlots;
+  backend.invalid_response_permille = 0;
+  std::unique_ptr<MeshBackend>& slot = backends_[static_cast<size_t>(instance)];
+  slot.reset();
+  slot = std::make_unique<MeshBackend>(io_, backend, observer_);
+  return ErrorOf(slot->Start()) == nullptr;
+}
+
+bool ProcessFleet::RestartBackend(int instance) {
+  bool started = false;
+  Call([&] { started = StartBackend(instance); });
+  return started;
+}
+
+}  // namespace banyanloft
