--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -49,8 +49,7 @@
     {"drain_began", "graceful shutdown started; requests in progress"},
     {"drain_finished",
      "graceful shutdown ends the process; time since it started, requests, "
-     "runs "
-     "and output that are given up, requests of peers that came late"},
+     "runs and output that are given up, requests of peers that came late"},
     {"crash_suspicions_learned",
      "other daemons suspect requests of crashing backend servers; number, "
      "requests tracked, fingerprints refused from now on"},
