A stopping daemon starts no run that its stop would cut

A stop refuses what is queued at 4.3 s, whatever it takes: a slot that becomes free before starts the next queued request, also if it cannot finish within the stop.

Change: BackendRunner knows when the stop ends. Queued and new requests whose route's run time, with the margin that admission uses (1.6), does not fit any more are refused as not run, so that the daemon that sent them can choose another target.

Evidence: backend_runner/plannedStop_queuedRequestThatCannotFinish_* and plannedStop_newRequestThatCannotFinish_* fail with the two checks disabled, pass now.

--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -110,7 +110,8 @@
 
 std::optional<ErrorKind> BackendRunner::CheckNew(TimeMs now,
                                                  const Work& work) const {
-  if (!accepting_) return ErrorKind::kDraining;
+  bool starts = accepting_ && FinishesBeforeStop(now, work.request.route);
+  if (!starts) return ErrorKind::kDraining;
   switch (registry_.State()) {
     case InstanceState::kUnknown:
       return ErrorKind::kBackendUnavailable;
@@ -127,6 +128,28 @@
   return std::nullopt;
 }
 
+bool BackendRunner::FinishesBeforeStop(TimeMs now,
+                                       const std::string& route) const {
+  if (!stop_at_) return true;
+  constexpr int64_t kPermille = 1000;
+  int64_t run_ms = admission_.MeanRunMs(now, route) *
+                   settings_.admission.run_margin_permille / kPermille;
+  return now + run_ms <= *stop_at_;
+}
+
+/// Refuses queued requests that would be cut by the end of a planned stop if
+/// they started now, so that other targets may run them.
+void BackendRunner::RefuseUnfinishable(TimeMs now, Actions* actions) {
+  std::vector<uint64_t> refused;
+  for (const auto& [id, work] : works_) {
+    bool unfinishable =
+        !work.running && !FinishesBeforeStop(now, work.request.route);
+    if (unfinishable && admission_.Withdraw(id)) refused.push_back(id);
+  }
+  for (uint64_t id : refused)
+    Refuse(now, id, ErrorKind::kDraining, 0, 0, actions);
+}
+
 void BackendRunner::ApplyDecisions(
     TimeMs now, const AdmissionController::Decisions& decisions,
     Actions* actions) {
@@ -615,6 +638,7 @@
 }
 
 void BackendRunner::Tick(TimeMs now, Actions* actions) {
+  if (stop_at_) RefuseUnfinishable(now, actions);
   AdmissionController::Decisions decisions;
   admission_.Tick(now, &decisions);
   ApplyDecisions(now, decisions, actions);
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -132,6 +132,9 @@
   /// An attempt is cancelled.
   void OnCancel(TimeMs now, const std::string& from_link,
                 const CancelForward& cancel, Actions* actions);
+  /// A planned stop ends at `end`: from now on, requests that are not expected
+  /// to finish by then are refused instead of started.
+  void BeginStop(TimeMs end) { stop_at_ = end; }
   /// Refuses all requests from now on because this process stops soon.
   void StopAccepting() { accepting_ = false; }
   /// Refuses all queued requests because this process stops soon.
@@ -189,6 +192,8 @@
 
   static bool IsLeaving(InstanceState state);
   std::optional<ErrorKind> CheckNew(TimeMs now, const Work& work) const;
+  bool FinishesBeforeStop(TimeMs now, const std::string& route) const;
+  void RefuseUnfinishable(TimeMs now, Actions* actions);
   void ApplyDecisions(TimeMs now,
                       const AdmissionController::Decisions& decisions,
                       Actions* actions);
@@ -229,6 +234,7 @@
   AdmissionController admission_;
   CrashGuard crash_guard_;
   bool accepting_ = true;
+  std::optional<TimeMs> stop_at_;  ///< End of the planned stop, if any.
   uint64_t next_work_ = 1;
   std::map<uint64_t, Work> works_;
   std::map<ForwardOrigin, uint64_t> work_by_origin_;
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -328,6 +328,7 @@
   draining_ = true;
   drain_began_ = now;
   forwarder_.BeginStop(now + settings_.drain_max_ms);
+  runner_.BeginStop(now + settings_.drain_max_ms);
   actions->push_back(
       LogRecord{LogLevel::kInfo,
                 "drain_began",
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -177,7 +177,7 @@
     runner_->OnProbed(TimeMs(0), ProbeResult{true, "i-1", {}}, &actions_);
   }
   void Forward(TimeMs now, uint64_t attempt, bool idempotent,
-               const std::string& body = "") {
+               const std::string& body = "", int64_t remaining_ms = 1000) {
     ForwardRequest request;
     request.attempt = attempt;
     request.service = "s";
@@ -186,8 +186,8 @@
     request.target = "/x";
     request.body = body;
     request.idempotent = idempotent;
-    request.aim_left_ms = 400;
-    request.remaining_ms = 1000;
+    request.aim_left_ms = remaining_ms * 2 / 5;
+    request.remaining_ms = remaining_ms;
     runner_->OnForward(now, "peer:1", request, &actions_);
   }
   const StartRun* Run(size_t n) {
@@ -458,6 +458,41 @@
   CHECK(AnswerOf(3)->run_state == RunState::kNotRun);
 }
 
+/// Guards against runs that start late in a planned stop, when a slot becomes
+/// free, and are cut at its end.
+TEST(backend_runner, plannedStop_queuedRequestThatCannotFinish_isRefusedUnrun) {
+  constexpr int64_t kRunMs = 900;
+  int64_t margin_ms =
+      kRunMs * BackendRunnerSettings().admission.run_margin_permille / 1000;
+  TimeMs latest(2000);  // Time of the last start that is allowed.
+  Report(1);
+  Forward(TimeMs(0), 1, false, "", 6000);
+  End(0, RunResult::Type::kAnswered, TimeMs(kRunMs));
+  for (uint64_t attempt = 2; attempt <= 4; ++attempt)
+    Forward(TimeMs(kRunMs), attempt, false, "", 9000);
+  LONGS_EQUAL(3, Count<StartRun>());
+  runner_->BeginStop(latest + margin_ms);
+  runner_->Tick(latest - 10, &actions_);
+  CHECK(AnswerOf(4) == nullptr);
+  runner_->Tick(latest + 10, &actions_);
+  CHECK(AnswerOf(4) != nullptr);
+  CHECK(AnswerOf(4)->error == ErrorKind::kDraining);
+  CHECK(AnswerOf(4)->run_state == RunState::kNotRun);
+  End(1, RunResult::Type::kAnswered, latest + 20);
+  LONGS_EQUAL(3, Count<StartRun>());
+}
+
+TEST(backend_runner, plannedStop_newRequestThatCannotFinish_isRefusedUnrun) {
+  Report(1);
+  Forward(TimeMs(0), 1, false);
+  End(0, RunResult::Type::kAnswered, TimeMs(900));
+  runner_->BeginStop(TimeMs(2000));
+  Forward(TimeMs(1500), 2, false);
+  LONGS_EQUAL(1, Count<StartRun>());
+  CHECK(AnswerOf(2)->error == ErrorKind::kDraining);
+  CHECK(AnswerOf(2)->run_state == RunState::kNotRun);
+}
+
 TEST(backend_runner, peerLost_queuedRequestsNeverStart) {
   Report(1);
   for (uint64_t attempt = 1; attempt <= 3; ++attempt)
