Log when a daemon finds the first other member, or loses the last

Two hypotheses could not be told apart by the logs: peers do not know that the server is ready, or know it and prefer another one.

Now a daemon logs `members_found` (members alive and known, time since its start) and `members_lost`. Volume: one line each time the first is found or the last is lost.

--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -75,6 +75,10 @@
      "a report of the backend server cannot be parsed; detail"},
     {"instance_started", "the backend server restarted"},
     {"link_lost", "the link to a peer was closed"},
+    {"members_found",
+     "the first other live member was found; members alive and known, time "
+     "since the daemon started"},
+    {"members_lost", "no other live member is known any more"},
     {"own_pause", "this process was suspended; duration"},
     {"request_held",
      "request queued at start-up until the first configuration version "
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -376,6 +376,7 @@
     std::vector<DatagramOut> datagrams;
     membership_.Tick(now, &datagrams);
     SendDatagrams(now, std::move(datagrams), actions);
+    LogMembership(now, actions);
     bool watching = IsWatcher(now);
     ConfigFollower::Actions changes;
     config_.Tick(now, watching, &changes);
@@ -465,6 +466,21 @@
        {"late_peer_requests", std::to_string(late_peer_requests_)}}});
 }
 
+/// Logs when this process learns of the first other live member or loses the
+/// last one: without any, it reaches its own backend server only.
+void MeshNode::LogMembership(TimeMs now, Actions* actions) {
+  bool knows_members = membership_.AliveCount() > 1;
+  if (knows_members == knows_members_) return;
+  knows_members_ = knows_members;
+  actions->push_back(
+      LogRecord{knows_members ? LogLevel::kInfo : LogLevel::kWarning,
+                knows_members ? "members_found" : "members_lost",
+                {{"alive", std::to_string(membership_.AliveCount())},
+                 {"known", std::to_string(membership_.Others().size() + 1)},
+                 {"state", NameOf(membership_.Self().state)},
+                 {"since_start_ms", std::to_string(now - start_)}}});
+}
+
 bool MeshNode::IsWatcher(TimeMs now) const {
   // While the fleet starts, each member knows no others yet and would consider
   // itself the first of its zone.
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -162,6 +162,7 @@
   void TickDrain(TimeMs now, Actions* actions);
   bool MayExit(int64_t drained_ms) const;
   void LogDrainFinished(TimeMs now, Actions* actions);
+  void LogMembership(TimeMs now, Actions* actions);
   /// Whether a planned stop is too far advanced for new requests.
   bool RefusesNew(TimeMs now) const;
   void RefuseQueued(TimeMs now, Actions* actions);
@@ -194,6 +195,7 @@
   PendingOutput pending_output_;
   /// Requests of peers that came after those of clients are refused.
   uint64_t late_peer_requests_ = 0;
+  bool knows_members_ = false;  ///< Other live ones, as last logged.
   TimeMs last_datagram_at_;
   uint64_t next_store_call_ = 1;
   uint64_t config_call_ = 0;
--- a/banyanloft/operator/request_tracer.cc
+++ b/banyanloft/operator/request_tracer.cc
@@ -62,7 +62,7 @@
       "instance_started",         "instance_lost",    "instance_crashed",
       "crash_suspicions_learned", "own_pause",        "drain_began",
       "daemon_started",           "daemon_stopped",   "settings_reloaded",
-      "instance_health_check"};
+      "instance_health_check",    "members_found",    "members_lost"};
   return kEvents.count(event) > 0;
 }
 
