A daemon that starts while the store is down joins through its peers

What callers saw: a daemon restarts while the store is unavailable.

Cause: a starting daemon learns of others from the store, or from a digest, which a settled member sends to one random other every 10 s. The peers do ping the new process at its predecessor's address and learn of it from its reply, but a ping does not say who else there is, so that the daemon gossips its own changes to nobody and is heard only when it happens to be pinged again.

Change: a ping from a member that is not known is answered with a digest as well, at the next tick. The sender replies with what differs, and the exchange goes on until digests match. It costs one digest for each ping of an unknown member, which ends once the member is known.

The bounds: 3 s for a daemon to join (stability_window_s), 1 s for a server that starts again (as measured by the users).

--- a/banyanloft/membership/membership.cc
+++ b/banyanloft/membership/membership.cc
@@ -68,6 +68,15 @@
   }
 }
 
+/// A member that started while the store was unavailable knows no others. Those
+/// that knew its predecessor ping its address; each can tell it the rest.
+void Membership::JoinThrough(const Datagram& ping) {
+  if (Find(ping.from) != nullptr) return;
+  bool listed = std::find(unknown_addresses_.begin(), unknown_addresses_.end(),
+                          ping.reply_to) != unknown_addresses_.end();
+  if (!listed) unknown_addresses_.push_back(ping.reply_to);
+}
+
 void Membership::Announce(TimeMs now, MemberState state,
                           const std::string& service, int slots) {
   bool same =
@@ -91,6 +100,7 @@
   switch (datagram.type) {
     case DatagramType::kPing: {
       Apply(now, datagram.subject);
+      JoinThrough(datagram);
       Datagram ack = Make(DatagramType::kAck);
       ack.sequence = datagram.sequence;
       AttachUpdates(&ack);
--- a/banyanloft/membership/membership.h
+++ b/banyanloft/membership/membership.h
@@ -148,6 +148,7 @@
   bool DetectOwnPause(TimeMs now);
   void Apply(TimeMs now, const MemberRecord& update);
   void AddReporter(const MemberRecord& update);
+  void JoinThrough(const Datagram& ping);
   void Store(TimeMs now, const MemberRecord& record);
   void Refute(TimeMs now, const MemberRecord& claim);
   void RetirePredecessor(TimeMs now, MemberRecord predecessor);
