A message that cannot be written as HTTP ends only its own exchange

Cause: Beast's prepare_payload throws for a TRACE with content, and for a response whose status allows no body. Nothing catches it, so that it ends the process. The class is an exception of a library that input can cause and that reaches the top.

Change, in two layers. A server answers a request that HTTP forbids with 400 before it is run (InvalidRequestReason). Client and server build each outgoing message in one function that turns the library's exception into the end of that exchange, with a log line: a request fails with kInvalidRequest, a response closes its connection. To callers such a run is "not run" with malformed_request; the server's daemon keeps its server in service, and no other target is tried.

Evidence, tests on the code before: http/clientRequestCannotBeWritten: terminate called after throwing boost::wrapexcept<std::invalid_argument>, "invalid request body" http/responseCannotBeWritten: the same, "invalid response body" http/traceWithBody: no 400; the request is handed to the server's handler Green after, with backend_client/requestCannotBeWritten, backend_runner/invalidRequest and forwarder/targetCannotSendRequest, which need the new result.

--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -53,6 +53,12 @@
     {"crash_suspicions_learned",
      "other daemons suspect requests of crashing backend servers; number, "
      "requests tracked, fingerprints refused from now on"},
+    {"http_request_invalid",
+     "a request cannot be written as HTTP and fails unsent; method, detail"},
+    {"http_request_refused",
+     "a client sent a request that HTTP forbids; method, detail"},
+    {"http_response_invalid",
+     "a response cannot be written as HTTP; its connection was closed"},
     {"instance_changed",
      "state, slots or service of the backend server changed; source, time "
      "since the daemon started"},
--- a/banyanloft/http/http_client.cc
+++ b/banyanloft/http/http_client.cc
@@ -15,6 +15,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "banyanloft/core/log.h"
+
 namespace banyanloft {
 namespace {
 
@@ -147,20 +149,7 @@
   void Write() {
     if (cancelled_) return Finish(HttpFailure::kNotSent);
     const HttpRequest& request = job_->request;
-    message_.emplace();
-    message_->version(11);
-    message_->method_string(request.method);
-    message_->target(request.target);
-    message_->set(bhttp::field::host, client_->settings_.server.Text());
-    for (const auto& [name, value] : request.headers) {
-      if (bhttp::string_to_field(name) == bhttp::field::host) {
-        message_->set(bhttp::field::host, value);
-      } else {
-        message_->insert(name, value);
-      }
-    }
-    message_->body() = request.body;
-    message_->prepare_payload();
+    if (!PrepareMessage(request)) return Finish(HttpFailure::kInvalidRequest);
     PrepareParser();
     stream_.expires_at(job_->deadline);
     written_ = false;
@@ -183,6 +172,31 @@
     if (long_body) ReadResponse();
   }
 
+  /// False if the request cannot be written as HTTP: Beast then throws.
+  bool PrepareMessage(const HttpRequest& request) {
+    try {
+      message_.emplace();
+      message_->version(11);
+      message_->method_string(request.method);
+      message_->target(request.target);
+      message_->set(bhttp::field::host, client_->settings_.server.Text());
+      for (const auto& [name, value] : request.headers) {
+        if (bhttp::string_to_field(name) == bhttp::field::host) {
+          message_->set(bhttp::field::host, value);
+        } else {
+          message_->insert(name, value);
+        }
+      }
+      message_->body() = request.body;
+      message_->prepare_payload();
+      return true;
+    } catch (const std::exception& error) {
+      Log(LogLevel::kError, "http_request_invalid",
+          {{"method", request.method}, {"detail", error.what()}});
+      return false;
+    }
+  }
+
   void PrepareParser() {
     SetBufferedBytes(0);
     parser_.emplace();
--- a/banyanloft/http/http_client.h
+++ b/banyanloft/http/http_client.h
@@ -34,11 +34,12 @@
 
 /// Why a request got no response.
 enum class HttpFailure : uint8_t {
-  kNotSent,    ///< No byte of it was written.
-  kBroken,     ///< The connection failed or the response was malformed.
-  kTooLarge,   ///< The response body exceeds a limit.
-  kTimeout,    ///< No complete response in time; the connection is closed.
-  kCancelled,  ///< Cancelled; the connection is closed.
+  kNotSent,         ///< No byte of it was written.
+  kInvalidRequest,  ///< It cannot be written as HTTP; no byte was written.
+  kBroken,          ///< The connection failed or the response was malformed.
+  kTooLarge,        ///< The response body exceeds a limit.
+  kTimeout,         ///< No complete response in time; the connection is closed.
+  kCancelled,       ///< Cancelled; the connection is closed.
 };
 
 /// Whether a response belongs to the request that awaits one.
--- a/banyanloft/http/http_server.cc
+++ b/banyanloft/http/http_server.cc
@@ -10,6 +10,9 @@
 #include <optional>
 #include <unordered_map>
 
+#include "banyanloft/core/log.h"
+#include "banyanloft/http/request_check.h"
+
 namespace banyanloft {
 namespace {
 
@@ -100,17 +103,7 @@
     timer_.cancel();
     beast::error_code ignored;
     stream_.socket().cancel(ignored);
-    response_.emplace();
-    response_->version(11);
-    response_->result(static_cast<unsigned>(response.status));
-    if (!response.content_type.empty())
-      response_->set(bhttp::field::content_type, response.content_type);
-    for (const auto& [name, value] : response.headers)
-      response_->insert(name, value);
-    response_->keep_alive(keep_alive && keep_alive_ && !server_->stopping_ &&
-                          !server_->keep_alive_disabled_);
-    response_->body() = std::move(response.body);
-    response_->prepare_payload();
+    if (!PrepareResponse(std::move(response), keep_alive)) return Close();
     stream_.expires_after(
         std::chrono::milliseconds(server_->settings_.write_timeout_ms));
     bhttp::async_write(
@@ -139,6 +132,29 @@
                : --server_->unfinished_responses_;
   }
 
+  /// False if the response cannot be written as HTTP: Beast then throws.
+  bool PrepareResponse(HttpResponse response, bool keep_alive) {
+    int status = response.status;
+    try {
+      response_.emplace();
+      response_->version(11);
+      response_->result(static_cast<unsigned>(status));
+      if (!response.content_type.empty())
+        response_->set(bhttp::field::content_type, response.content_type);
+      for (const auto& [name, value] : response.headers)
+        response_->insert(name, value);
+      response_->keep_alive(keep_alive && keep_alive_ && !server_->stopping_ &&
+                            !server_->keep_alive_disabled_);
+      response_->body() = std::move(response.body);
+      response_->prepare_payload();
+      return true;
+    } catch (const std::exception& error) {
+      Log(LogLevel::kError, "http_response_invalid",
+          {{"status", std::to_string(status)}, {"detail", error.what()}});
+      return false;
+    }
+  }
+
   void ReadRequest() {
     stream_.expires_never();
     reading_ = true;
@@ -206,6 +222,11 @@
                                    std::string(field.value()));
     }
     request.body = std::move(message.body());
+    if (const char* reason = InvalidRequestReason(request)) {
+      Log(LogLevel::kWarning, "http_request_refused",
+          {{"method", request.method}, {"detail", reason}});
+      return Refuse(ErrorKind::kMalformedRequest);
+    }
 
     stream_.expires_never();
     // If this process was delayed, the client may have disconnected already.
--- a/banyanloft/mesh/backend_client.cc
+++ b/banyanloft/mesh/backend_client.cc
@@ -14,6 +14,8 @@
   switch (failure) {
     case HttpFailure::kNotSent:
       return RunResult::Type::kNotSent;
+    case HttpFailure::kInvalidRequest:
+      return RunResult::Type::kInvalid;
     case HttpFailure::kTimeout:
       return RunResult::Type::kTimeout;
     case HttpFailure::kCancelled:
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -21,6 +21,8 @@
     case RunResult::Type::kMisplaced:
     case RunResult::Type::kNotSent:
       return ErrorKind::kBackendUnavailable;
+    case RunResult::Type::kInvalid:
+      return ErrorKind::kMalformedRequest;
     case RunResult::Type::kTimeout:
       return ErrorKind::kTimeout;
     case RunResult::Type::kCancelled:
@@ -37,7 +39,7 @@
 bool IsKnownNotRun(RunResult::Type type) {
   return type == RunResult::Type::kRejected ||
          type == RunResult::Type::kMisplaced ||
-         type == RunResult::Type::kNotSent;
+         type == RunResult::Type::kNotSent || type == RunResult::Type::kInvalid;
 }
 
 InstanceRegistrySettings RegistrySettings(
@@ -55,9 +57,9 @@
 }  // namespace
 
 const char* NameOf(RunResult::Type type) {
-  constexpr std::array<const char*, 9> kNames = {
-      "answered", "rejected",  "misplaced", "not_sent", "broken",
-      "garbled",  "oversized", "timeout",   "cancelled"};
+  constexpr std::array<const char*, 10> kNames = {
+      "answered", "rejected", "misplaced", "not_sent", "invalid",
+      "broken",   "garbled",  "oversized", "timeout",  "cancelled"};
   return kNames[static_cast<size_t>(type)];
 }
 
@@ -257,7 +259,8 @@
   }
 
   ForwardAnswer answer;
-  answer.arrived = result.type != RunResult::Type::kNotSent;
+  answer.arrived = result.type != RunResult::Type::kNotSent &&
+                   result.type != RunResult::Type::kInvalid;
   answer.run_ms = run_ms;
   answer.waited_ms = work.started - work.arrived;
   if (answered) {
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -90,6 +90,7 @@
     kRejected,   ///< The backend server reports that it did not run it.
     kMisplaced,  ///< Another instance has the address; it did not run it.
     kNotSent,    ///< Nothing of the request was sent: it never ran.
+    kInvalid,    ///< The request cannot be sent to any server: it never ran.
     kBroken,     ///< The connection closed before the response was complete.
     kGarbled,    ///< The response does not belong to the request.
     kOversized,  ///< The response exceeds a limit, perhaps without end.
--- a/banyanloft/mesh/forwarder.cc
+++ b/banyanloft/mesh/forwarder.cc
@@ -12,7 +12,8 @@
 
 /// Whether another target may accept a request refused with this error.
 bool OthersMayAccept(ErrorKind error) {
-  return error != ErrorKind::kCrashSuspect;
+  return error != ErrorKind::kCrashSuspect &&
+         error != ErrorKind::kMalformedRequest;
 }
 
 }  // namespace
@@ -189,7 +190,7 @@
     if (answer.arrived) selector_.OnOutcome(now, target, true);
     if (!answer.arrived && answer.error != ErrorKind::kOverloaded &&
         answer.error != ErrorKind::kDeadlineUnmeetable &&
-        answer.error != ErrorKind::kCrashSuspect)
+        OthersMayAccept(*answer.error))
       selector_.Avoid(now, target);
     return OnRefused(now, id, *answer.error, answer.retry_after_ms,
                      answer.arrived, actions);
--- a/tests/backend_client_test.cc
+++ b/tests/backend_client_test.cc
@@ -111,3 +111,14 @@
   LONGS_EQUAL(1, server_.requests);
   CHECK(results_.types[0] == RunResult::Type::kAnswered);
 }
+
+TEST(backend_client, requestCannotBeWritten_isInvalidAndNeverReachesServer) {
+  StartRun start = Run();
+  start.request.method = "TRACE";
+  start.request.body = "x";
+  client_->Start(start, false);
+  Loop();
+  LONGS_EQUAL(1, results_.types.size());
+  CHECK(results_.types[0] == RunResult::Type::kInvalid);
+  LONGS_EQUAL(0, server_.requests);
+}
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -516,6 +516,20 @@
   CHECK(runner_->State() == InstanceState::kReady);
 }
 
+/// Guards against a request that no connection can carry taking healthy servers
+/// out of use.
+TEST(backend_runner, invalidRequest_onlyThatRequestIsRefused) {
+  Report(1);
+  for (uint64_t attempt = 1; attempt <= 3; ++attempt)
+    Forward(TimeMs(0), attempt, false);
+  End(0, RunResult::Type::kInvalid);
+  CHECK(AnswerOf(1)->error == ErrorKind::kMalformedRequest);
+  CHECK(AnswerOf(1)->run_state == RunState::kNotRun);
+  CHECK(!AnswerOf(1)->arrived);
+  CHECK(runner_->State() == InstanceState::kReady);
+  LONGS_EQUAL(3, Count<StartRun>());
+}
+
 TEST(backend_runner, crashes_sameRequestThreeTimes_isRefusedAsNotRun) {
   Report(1);
   TimeMs now(0);
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -119,6 +119,18 @@
   CHECK(Answered()->run_state == RunState::kNotRun);
 }
 
+TEST(forwarder, targetCannotSendRequest_noOtherTargetIsTried) {
+  Request(TimeMs(0), "/safe/1");
+  MemberId target = Sent(0)->target;
+  forwarder_->OnAnswer(TimeMs(10), RefusalTo(0, ErrorKind::kMalformedRequest),
+                       &actions_);
+  CHECK(Sent(1) == nullptr);
+  CHECK(Answered()->error == ErrorKind::kMalformedRequest);
+  CHECK(Answered()->run_state == RunState::kNotRun);
+  Request(TimeMs(20), "/safe/2");
+  LONGS_EQUAL(target, Sent(1)->target);
+}
+
 TEST(forwarder, requestIsContainedAfterItBroke_isNotRetriedNorCalledNotRun) {
   Request(TimeMs(0), "/safe/1");
   directory_.contained = true;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -16,7 +16,8 @@
 
 namespace {
 
-/// Echoes bodies; a body `hold` is never answered.
+/// Echoes bodies; a body `hold` is never answered, and `unwritable` gets a
+/// response that HTTP does not allow.
 class EchoHandler final : public HttpHandler {
  public:
   void OnRequest(uint64_t id, HttpRequest request) override {
@@ -24,6 +25,7 @@
     if (request.body == "hold") return;
     HttpResponse response;
     response.body = request.body;
+    if (request.body == "unwritable") response.status = 204;
     server->Reply(id, std::move(response));
   }
   void OnAbandoned(uint64_t) override { ++abandoned; }
@@ -160,6 +162,48 @@
   }
 }
 
+/// Guards against a request that the HTTP library refuses to write again, and
+/// whose exception ends the process.
+TEST(http, traceWithBody_gets400) {
+  for (const char* bytes :
+       {"TRACE / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx",
+        "TRACE / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "1\r\nx\r\n0\r\n\r\n"})
+    CHECK(Contains(Raw(bytes), "400 Bad Request"));
+  LONGS_EQUAL(0, handler_.requests);
+}
+
+TEST(http, clientRequestCannotBeWritten_onlyThatRequestFails) {
+  asio::io_context io;
+  HttpClientSettings settings;
+  settings.server = endpoint_;
+  HttpClient client(io, settings);
+  HttpRequest request;
+  request.body = "x";
+  std::vector<HttpOutcome> outcomes;
+  uint64_t id = 0;
+  for (const char* method : {"POST", "TRACE", "POST"}) {
+    request.method = method;
+    client.Send(++id, request, 1000, [&](HttpOutcome outcome) {
+      outcomes.push_back(std::move(outcome));
+      io.stop();
+    });
+    io.restart();
+    io.run();
+  }
+  LONGS_EQUAL(3, outcomes.size());
+  CHECK(!outcomes[0].failure);
+  CHECK(outcomes[1].failure == HttpFailure::kInvalidRequest);
+  CHECK(!outcomes[2].failure);
+}
+
+TEST(http, responseCannotBeWritten_onlyItsConnectionIsClosed) {
+  HttpOutcome outcome = Send(endpoint_.port, "unwritable");
+  CHECK(outcome.failure == HttpFailure::kBroken);
+  CHECK(!Send(endpoint_.port, "a body").failure);
+  LONGS_EQUAL(0, server_->UnfinishedResponses());
+}
+
 TEST(http, oversizedRequests_get413WithoutBeingRead) {
   CHECK(Contains(Raw("POST / HTTP/1.1\r\nContent-Length: 1000000000\r\n\r\n"),
                  "413"));
