--- a/banyanloft/http/http_message.cc
+++ b/banyanloft/http/http_message.cc
@@ -7,7 +7,6 @@
 #include <charconv>
 
 namespace banyanloft {
-namespace {
 
 bool EqualsIgnoreCase(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
@@ -17,8 +16,6 @@
          });
 }
 
-}  // namespace
-
 std::string_view HeaderOf(const HttpHeaders& headers, std::string_view name) {
   for (const auto& [key, value] : headers) {
     if (EqualsIgnoreCase(key, name)) return value;
--- a/banyanloft/http/http_message.h
+++ b/banyanloft/http/http_message.h
@@ -11,6 +11,9 @@
 /// Header fields in order.
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
+/// Compares ASCII texts without regard to case.
+bool EqualsIgnoreCase(std::string_view a, std::string_view b);
+
 /// Value of the first header with the given name, which is matched without
 /// regard to case; empty if there is none.
 std::string_view HeaderOf(const HttpHeaders& headers, std::string_view name);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -173,6 +173,30 @@
   LONGS_EQUAL(0, handler_.requests);
 }
 
+/// Guards against a body of unknown length whose bytes are read as the next
+/// request, which smuggles requests.
+TEST(http, transferCodingIsUnknown_gets400AndItsBodyIsNotRead) {
+  for (const char* coding :
+       {"gzip", "identity", "chunked, chunked", "gzip, chunked", "xchunked",
+        "chunked\r\nTransfer-Encoding: chunked"}) {
+    std::string answer =
+        Raw(std::string("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: ") +
+            coding + "\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n" +
+            "Host: a\r\nConnection: close\r\n\r\n");
+    CHECK(Contains(answer, "400 Bad Request"));
+    CHECK(!Contains(answer, "200 OK"));
+  }
+  LONGS_EQUAL(0, handler_.requests);
+}
+
+TEST(http, chunkedBody_isRead) {
+  std::string answer =
+      Raw("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: Chunked\r\n"
+          "Connection: close\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+  CHECK(Contains(answer, "200 OK"));
+  CHECK(Contains(answer, "\r\n\r\nok"));
+}
+
 TEST(http, clientRequestCannotBeWritten_onlyThatRequestFails) {
   asio::io_context io;
   HttpClientSettings settings;
