A malformed deadline is refused as malformed

Cause: digits were read up to the first other character, and `1e999` became 1 ms.

Evidence: platform_protocol/clientRequest_malformedDeadline on the code before: CHECK(ErrorOf(read) != nullptr) failed; clientRequest_fractionalDeadline ended the test program there at `0.4`, which was refused.

--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -240,6 +240,30 @@
   CHECK(ErrorOf(read) != nullptr);
 }
 
+/// Guards against a malformed deadline that is cut to its first digits: such a
+/// request is refused as one that may be sent again.
+TEST(platform_protocol, clientRequest_malformedDeadline_isRejected) {
+  for (const char* text : {"", " ", "0", "-5", "1e999", "12x", "0x20", "nan",
+                           "inf", "1 2", "99999999999999999999999999"}) {
+    HttpRequest request;
+    request.headers = {{"X-Deadline-Ms", text}};
+    Result<MeshRequest> read = protocol_.ReadClientRequest(request);
+    CHECK_TEXT(ErrorOf(read) != nullptr, text);
+  }
+}
+
+TEST(platform_protocol, clientRequest_fractionalDeadline_isRoundedDown) {
+  HttpRequest request;
+  for (const char* text : {"2500.9", "2500"}) {
+    request.headers = {{"X-Deadline-Ms", text}};
+    LONGS_EQUAL(2500, ValueOf(protocol_.ReadClientRequest(request))->wait_ms);
+  }
+  request.headers = {{"X-Deadline-Ms", "0.4"}};
+  LONGS_EQUAL(1, ValueOf(protocol_.ReadClientRequest(request))->wait_ms);
+  request.headers = {};
+  LONGS_EQUAL(0, ValueOf(protocol_.ReadClientRequest(request))->wait_ms);
+}
+
 TEST(platform_protocol, runRequest_namesInstanceCallerAndRemainingTime) {
   StartRun run;
   run.instance = "i-1";
