A Connection header does not remove end-to-end headers

The backend server rejects it, and the daemon has no id to tell late responses by. A faulty server could remove its signature the same way.

Cause: every header that Connection lists was dropped. RFC 9110, section 7.6.1: fields meant for the final recipient must not be listed there.

--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -264,6 +264,20 @@
   LONGS_EQUAL(0, ValueOf(protocol_.ReadClientRequest(request))->wait_ms);
 }
 
+/// Guards against a request that loses its id, and so runs without one.
+TEST(platform_protocol, connectionListsEndToEndHeaders_areForwarded) {
+  HttpRequest request;
+  request.headers = {{"Host", "a.example"},
+                     {"X-Attempt-Id", "id"},
+                     {"Connection", "x-attempt-id, Host, X-Odd"},
+                     {"X-Odd", "1"}};
+  Result<MeshRequest> read = protocol_.ReadClientRequest(request);
+  const HttpHeaders& headers = ValueOf(read)->headers;
+  CHECK(HeaderOf(headers, "x-attempt-id") == "id");
+  CHECK(HeaderOf(headers, "host") == "a.example");
+  LONGS_EQUAL(2, headers.size());
+}
+
 TEST(platform_protocol, runRequest_namesInstanceCallerAndRemainingTime) {
   StartRun run;
   run.instance = "i-1";
