--- a/tests/join_without_store_test.cc
+++ b/tests/join_without_store_test.cc
@@ -18,6 +18,7 @@
 /// it.
 constexpr int64_t kUsedAgainMs = 1000;
 constexpr int64_t kRequestTimeoutMs = 1000;
+constexpr int64_t kStepMs = 10;
 constexpr const char* kCrashingTarget = "/catalogue/read/crash";
 
 }  // namespace
@@ -92,7 +93,10 @@
     fleet_->Advance(settings_.crash_after_ms + settings_.down_ms / 2);
     const MemberRecord& self = fleet_->NodeAt(0).Members().Self();
     CHECK(self.state == MemberState::kWarming);
-    while (self.state != MemberState::kReady) fleet_->Advance(10);
+    for (int64_t ms = 0; ms < settings_.down_ms; ms += kStepMs) {
+      if (self.state != MemberState::kReady) fleet_->Advance(kStepMs);
+    }
+    CHECK(self.state == MemberState::kReady);
     fleet_->Advance(kUsedAgainMs);
     for (size_t i = 1; i < fleet_->Size(); ++i) {
       const MemberRecord* member = fleet_->NodeAt(i).Members().Find(self.id);
