--- a/tests/join_without_store_test.cc
+++ b/tests/join_without_store_test.cc
@@ -11,11 +11,11 @@
 
 constexpr int64_t kStartupMs = 5000;
 constexpr int64_t kRestartMs = 500;
-/// Time after which a daemon that restarts must know the fleet, in ms. Bound of
-/// the users' deployments (stability_window_s).
+/// Time within which a daemon that restarts must know the fleet, in ms. Bound
+/// set by the specification of the platform.
 constexpr int64_t kJoinMs = 3000;
-/// Time within which a server that starts again must be used, as users measured
-/// it.
+/// Time within which a server that starts again must be used, in ms, as users
+/// measured it.
 constexpr int64_t kUsedAgainMs = 1000;
 constexpr int64_t kRequestTimeoutMs = 1000;
 constexpr int64_t kStepMs = 10;
