--- a/banyanloft/core/error.cc
+++ b/banyanloft/core/error.cc
@@ -77,6 +77,10 @@
      "the configuration breaks a rule"},
     {K::kProtocolError, "protocol_error", 502, S::kUnknown, H::kNo,
      "a message breaks the protocol"},
+    {K::kUnknownApiKey, "unknown_api_key", 401, S::kNotRun, H::kNo,
+     "the request carries no API key of a client account"},
+    {K::kQuotaExceeded, "quota_exceeded", 429, S::kNotRun, H::kLater,
+     "the client account is over its request quota"},
 }};
 
 }  // namespace
--- a/banyanloft/core/error.h
+++ b/banyanloft/core/error.h
@@ -59,11 +59,13 @@
   kHistoryLost,
   kInvalidConfiguration,
   kProtocolError,
+  kUnknownApiKey,
+  kQuotaExceeded,
 };
 
 /// Number of error kinds; they are numbered from 0 without gaps.
 inline constexpr size_t kErrorKindCount =
-    static_cast<size_t>(ErrorKind::kProtocolError) + 1;
+    static_cast<size_t>(ErrorKind::kQuotaExceeded) + 1;
 
 /// How an error kind is presented to callers.
 struct ErrorInfo {
--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -173,11 +173,14 @@
 }
 
 Json Encode(const ForwardRequest& m) {
-  return Tagged(MessageTag::kForwardRequest,
-                Json::array({m.attempt, m.request_id, m.caller, m.service,
-                             m.route, m.idempotent, m.priority, m.aim_left_ms,
-                             m.remaining_ms, m.method, BytesValue(m.target),
-                             EncodeHeaders(m.headers), BytesValue(m.body)}));
+  Json fields = Json::array(
+      {m.attempt, m.request_id, m.caller, m.service, m.route, m.idempotent,
+       m.priority, m.aim_left_ms, m.remaining_ms, m.method,
+       BytesValue(m.target), EncodeHeaders(m.headers), BytesValue(m.body)});
+  // Left out without an account, so that members without this field understand
+  // the message.
+  if (!m.account.empty()) fields.push_back(m.account);
+  return Tagged(MessageTag::kForwardRequest, std::move(fields));
 }
 
 ForwardRequest ReadForwardRequest(CborReader* r) {
@@ -195,6 +198,7 @@
   m.target = r->Bytes();
   ReadHeaders(r, &m.headers);
   m.body = r->Bytes();
+  if (r->Ok() && !r->Done()) m.account = r->String();
   return m;
 }
 
--- a/banyanloft/mesh/forwarder.cc
+++ b/banyanloft/mesh/forwarder.cc
@@ -49,6 +49,11 @@
   if (route == nullptr) {
     return Refuse(id, ErrorKind::kUnknownRoute, 0, request.request_id, actions);
   }
+  const ClientAccount* account = table_->AccountOf(request.api_key);
+  if (account == nullptr && table_->NeedsApiKey(*route)) {
+    return Refuse(id, ErrorKind::kUnknownApiKey, 0, request.request_id,
+                  actions);
+  }
   if (requests_.size() >= settings_.max_requests) {
     return Refuse(id, ErrorKind::kQueueFull,
                   JitteredPauseMs(settings_.no_target_retry_ms),
@@ -57,6 +62,8 @@
   Pending& pending = requests_[id];
   pending.table = table_;
   pending.route = route;
+  pending.account = account;
+  pending.priority = table_->PriorityOf(*route, account);
   pending.arrived = now - request.buffered_ms;
   pending.deadline = pending.arrived + route->timeout_ms;
   if (request.wait_ms > 0) {
@@ -90,7 +97,7 @@
       directory_->CandidatesOf(pending.service);
   TargetQuery query;
   query.route = route.id;
-  query.urgency = UrgencyOf(route.priority);
+  query.urgency = UrgencyOf(pending.priority);
   query.aim_left_ms =
       pending.arrived + route.aim_ms - pending.prior_wait_ms - now;
   if (stop_at_)
@@ -127,7 +134,8 @@
   forward.service = pending.service;
   forward.route = route.id;
   forward.idempotent = route.idempotent;
-  forward.priority = route.priority;
+  forward.priority = pending.priority;
+  if (pending.account != nullptr) forward.account = pending.account->name;
   forward.aim_left_ms = query.aim_left_ms;
   forward.remaining_ms = left_ms;
   forward.method = pending.request.method;
@@ -162,12 +170,12 @@
 
 /// Records an attempt's latency without its queueing and run time: the round
 /// trip between the daemons and their processing.
-void Forwarder::RecordLinkLatency(TimeMs now, const HttpRoute& route,
+void Forwarder::RecordLinkLatency(TimeMs now, const Pending& pending,
                                   const Attempt& attempt,
                                   const ForwardAnswer& answer) {
   if (answer.run_ms < 0) return;
   int64_t link_ms = (now - attempt.sent) - answer.run_ms - answer.waited_ms;
-  histograms_.Add("link_ms", route.id, UrgencyOf(route.priority),
+  histograms_.Add("link_ms", pending.route->id, UrgencyOf(pending.priority),
                   std::max<int64_t>(0, link_ms));
 }
 
@@ -181,7 +189,7 @@
   Pending& pending = requests_.at(id);
   Attempt attempt = EndAttempt(&pending, answer.attempt);
   MemberId target = attempt.target;
-  RecordLinkLatency(now, *pending.route, attempt, answer);
+  RecordLinkLatency(now, pending, attempt, answer);
   pending.excluded.push_back(target);
   selector_.OnReport(now, target, answer.load, pending.route->id,
                      answer.run_ms);
@@ -319,7 +327,7 @@
   Pending& pending = it->second;
   CancelAttempts(&pending, actions);
   histograms_.Add(answer.error ? "failed_ms" : "answered_ms", pending.route->id,
-                  UrgencyOf(pending.route->priority), now - pending.arrived);
+                  UrgencyOf(pending.priority), now - pending.arrived);
   if (!answer.error) {
     counters_.Add("forward_answered_total", pending.service);
     actions->push_back(
--- a/banyanloft/mesh/forwarder.h
+++ b/banyanloft/mesh/forwarder.h
@@ -150,6 +150,8 @@
   struct Pending {
     RouteTablePtr table;
     const HttpRoute* route = nullptr;
+    const ClientAccount* account = nullptr;  ///< Of `table`; may be null.
+    int priority = 0;  ///< Rank by the account, then by the route.
     MeshRequest request;
     std::string service;
     TimeMs arrived;
@@ -168,7 +170,7 @@
     int64_t retry_after_ms = 0;  ///< Minimum over the targets' refusals.
   };
 
-  void RecordLinkLatency(TimeMs now, const HttpRoute& route,
+  void RecordLinkLatency(TimeMs now, const Pending& pending,
                          const Attempt& attempt, const ForwardAnswer& answer);
   void StartAttempt(TimeMs now, uint64_t id, Actions* actions);
   Attempt EndAttempt(Pending* pending, uint64_t id);
--- a/banyanloft/mesh/mesh_message.h
+++ b/banyanloft/mesh/mesh_message.h
@@ -30,6 +30,7 @@
   std::string host;
   std::string target;   ///< Path and query.
   HttpHeaders headers;  ///< End-to-end headers only, no hop-by-hop ones.
+  std::string api_key;  ///< Of a client account; empty if there is none.
   std::string body;
 };
 
@@ -67,6 +68,7 @@
   uint64_t attempt = 0;     ///< Unique per sender, also across its restarts.
   std::string request_id;   ///< The client's request id.
   std::string caller;       ///< Service on the ingress daemon's instance.
+  std::string account;      ///< Name of the client account; empty if none.
   std::string service;      ///< Service that must run it.
   std::string route;        ///< Id of the route.
   bool idempotent = false;  ///< May run more than once.
--- a/banyanloft/mesh/route_table.cc
+++ b/banyanloft/mesh/route_table.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cmath>
+#include <unordered_set>
 
 namespace banyanloft {
 namespace {
@@ -47,6 +49,38 @@
   if (total <= 0) add_error("split", "has no service with a weight above 0");
 }
 
+/// The errors do not show API keys, because they are logged.
+void ValidateAccounts(const RouteConfiguration& configuration,
+                      std::vector<ConfigurationError>* errors) {
+  std::unordered_map<std::string, const ClientAccount*> holders;
+  std::unordered_set<std::string> names;
+  for (const ClientAccount& account : configuration.accounts) {
+    std::string path = "accounts/" + account.name;
+    auto add_error = [&](const char* field, std::string problem) {
+      errors->push_back({path + "." + field, std::move(problem)});
+    };
+    if (account.name.empty()) add_error("name", "is empty");
+    // The name is sent as the value of a header.
+    bool printable = std::all_of(
+        account.name.begin(), account.name.end(),
+        [](unsigned char c) { return std::isprint(c) != 0; });
+    if (!printable) add_error("name", "holds a control character");
+    if (!names.insert(account.name).second) add_error("name", "is not unique");
+    if (account.priority < 0) add_error("priority", "must not be negative");
+    bool valid_quota = std::isfinite(account.rate_per_s) &&
+                       std::isfinite(account.burst) &&
+                       account.rate_per_s >= 0 && account.burst >= 0;
+    if (!valid_quota) add_error("quota", "must not be negative");
+    for (const std::string& key : account.api_keys) {
+      if (key.empty()) add_error("api_keys", "holds an empty key");
+      const ClientAccount* holder =
+          holders.emplace(key, &account).first->second;
+      if (holder != &account)
+        add_error("api_keys", "shares a key with " + holder->name);
+    }
+  }
+}
+
 }  // namespace
 
 std::vector<ConfigurationError> ValidateRouteConfiguration(
@@ -57,6 +91,7 @@
   bool bounded = limits.max_header_bytes > 0 && limits.max_body_bytes > 0 &&
                  limits.header_timeout_ms > 0 && limits.idle_timeout_ms > 0;
   if (!bounded) errors.push_back({"limits", "must all be above 0"});
+  ValidateAccounts(configuration, &errors);
   std::unordered_map<std::string, const HttpRoute*> seen;
   for (const HttpRoute& route : configuration.routes) {
     ValidateRoute(configuration, route, &errors);
@@ -88,7 +123,17 @@
   for (size_t i = 0; i < configuration_.routes.size(); ++i) {
     const HttpRoute& route = configuration_.routes[i];
     by_prefix_[KeyOf(route.host, route.path_prefix)] = i;
+    route_priorities_ = std::max(route_priorities_, route.priority + 1);
+  }
+  for (size_t i = 0; i < configuration_.accounts.size(); ++i) {
+    const ClientAccount& account = configuration_.accounts[i];
+    for (const std::string& key : account.api_keys) by_api_key_[key] = i;
+    account_priorities_.push_back(account.priority);
   }
+  std::sort(account_priorities_.begin(), account_priorities_.end());
+  account_priorities_.erase(
+      std::unique(account_priorities_.begin(), account_priorities_.end()),
+      account_priorities_.end());
 }
 
 const HttpRoute* RouteTable::Match(std::string_view host,
@@ -106,6 +151,21 @@
   return nullptr;
 }
 
+const ClientAccount* RouteTable::AccountOf(const std::string& api_key) const {
+  auto it = by_api_key_.find(api_key);
+  return it == by_api_key_.end() ? nullptr
+                                 : &configuration_.accounts[it->second];
+}
+
+int RouteTable::PriorityOf(const HttpRoute& route,
+                           const ClientAccount* account) const {
+  if (account == nullptr) return route.priority;
+  auto it = std::lower_bound(account_priorities_.begin(),
+                             account_priorities_.end(), account->priority);
+  int rank = static_cast<int>(it - account_priorities_.begin());
+  return rank * route_priorities_ + route.priority;
+}
+
 const ForwardedService* RouteTable::FindService(const std::string& id) const {
   auto it = configuration_.services.find(id);
   return it == configuration_.services.end() ? nullptr : &it->second;
