--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -173,10 +173,10 @@
 }
 
 Json Encode(const ForwardRequest& m) {
-  Json fields = Json::array(
-      {m.attempt, m.request_id, m.caller, m.service, m.route, m.idempotent,
-       m.priority, m.aim_left_ms, m.remaining_ms, m.method,
-       BytesValue(m.target), EncodeHeaders(m.headers), BytesValue(m.body)});
+  Json fields = Json::array({m.attempt, m.request_id, m.caller, m.service,
+                             m.route, m.idempotent, m.priority, m.aim_left_ms,
+                             m.remaining_ms, m.method, BytesValue(m.target),
+                             EncodeHeaders(m.headers), BytesValue(m.body)});
   // Left out without an account, so that members without this field understand
   // the message.
   if (!m.account.empty()) fields.push_back(m.account);
--- a/banyanloft/mesh/route_table.cc
+++ b/banyanloft/mesh/route_table.cc
@@ -61,9 +61,9 @@
     };
     if (account.name.empty()) add_error("name", "is empty");
     // The name is sent as the value of a header.
-    bool printable = std::all_of(
-        account.name.begin(), account.name.end(),
-        [](unsigned char c) { return std::isprint(c) != 0; });
+    bool printable =
+        std::all_of(account.name.begin(), account.name.end(),
+                    [](unsigned char c) { return std::isprint(c) != 0; });
     if (!printable) add_error("name", "holds a control character");
     if (!names.insert(account.name).second) add_error("name", "is not unique");
     if (account.priority < 0) add_error("priority", "must not be negative");
