A status that HTTP does not define is not a response

Callers got 600 of a backend server as an answer, and waited until their deadline for 504 after 000 or 099. Beast accepts any three digits, and statuses below 200 were skipped as interim responses.

Statuses outside 100 to 599 now break the run as soon as the head is read: the run state is unknown, the request is sent again if it is idempotent and the budget allows, otherwise the client gets 502 at once.

--- a/banyanloft/http/http_client.cc
+++ b/banyanloft/http/http_client.cc
@@ -32,7 +32,9 @@
 /// chunks of a body.
 constexpr size_t kMaxUnparsedBytes = 64 * 1024;
 /// Lower statuses are interim responses.
-constexpr int kFirstFinalStatus = 200;
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 
 using SteadyTime = std::chrono::steady_clock::time_point;
 
@@ -213,6 +215,8 @@
         [self = shared_from_this()](beast::error_code error, size_t) {
           if (!self->job_) return;
           if (error) return self->Finish(self->FailureOf(error));
+          if (self->HasInvalidStatus())
+            return self->Finish(HttpFailure::kBroken);
           if (self->parser_->is_done()) return self->Deliver();
           self->SetBufferedBytes(self->parser_->get().body().size());
           self->client_->LimitBufferedBodies();
@@ -220,6 +224,14 @@
         });
   }
 
+  /// Whether the response has a status that HTTP does not define (RFC 9110,
+  /// section 15). Beast accepts any three digits.
+  bool HasInvalidStatus() const {
+    if (!parser_->is_header_done()) return false;
+    unsigned status = parser_->get().result_int();
+    return status < kFirstStatus || status > kLastStatus;
+  }
+
   void SetBufferedBytes(size_t bytes) {
     client_->buffered_body_bytes_ += bytes - buffered_bytes_;
     buffered_bytes_ = bytes;
--- a/tests/faulty_backend_test.cc
+++ b/tests/faulty_backend_test.cc
@@ -265,3 +265,29 @@
     STRCMP_EQUAL(reset ? "" : "whole", result.response.body.c_str());
   }
 }
+
+/// A status that HTTP does not define is not an answer: not to be delivered,
+/// and not to be skipped as an interim one, which would take until the
+/// deadline.
+TEST(faulty_backend, statusIsNotDefinedByHttp_isBrokenAtOnce) {
+  for (const char* status : {"000", "099", "600", "999", "20", "2x0", "+200"}) {
+    for (const char* framing : {"Content-Length: 5\r\n", ""}) {
+      const std::string response = fmt::format(
+          "HTTP/1.1 {} Odd\r\nX-Attempt-Id: r-1\r\n"
+          "X-Response-Signature: s\r\n{}\r\nwhole",
+          status, framing);
+      Serve([&](const std::string&, int) { return Script{response}; });
+      CHECK_TEXT(Run("r-1").type == RunResult::Type::kBroken, status);
+    }
+  }
+}
+
+/// A target in trouble must not be believed that it did not run the request if
+/// its response is not one of HTTP.
+TEST(faulty_backend, statusIsNotDefinedByHttp_notRunIsNotBelieved) {
+  Serve([&](const std::string&, int) {
+    return Script{
+        "HTTP/1.1 600 Odd\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+  });
+  CHECK(Run("r-1").type == RunResult::Type::kBroken);
+}
