--- a/banyanloft/daemon/metrics_page.cc
+++ b/banyanloft/daemon/metrics_page.cc
@@ -102,6 +102,11 @@
        "Requests of clients that had waited before"},
       {"forward_late_answers_total", "",
        "Answers that came after the request had ended"},
+      {"forward_moved_total", "",
+       "Attempts that moved on to another target because of a longer wait "
+       "than expected"},
+      {"runs_moved_on_total", "",
+       "Attempts that this target let move on because of their wait"},
       {"run_results_total", "result", "Runs by how they ended"},
       {"instance_probes_total", "", "Health questions to the backend server"},
       {"backend_limit_changes_total", "",
@@ -146,6 +151,9 @@
       {"run_ms", "Time that requests ran at the backend server, in ms"},
       {"link_ms",
        "Time of answered attempts beyond waiting and running, in ms"},
+      {"expected_ms",
+       "Time to a response that was expected when a target was selected, in "
+       "ms"},
       {"answered_ms", "Time until a backend server's answer went out, in ms"},
       {"failed_ms", "Time until an error of this system went out, in ms"},
   };
--- a/banyanloft/links/link_hub.cc
+++ b/banyanloft/links/link_hub.cc
@@ -81,7 +81,8 @@
     std::string peer;
     std::string nonce;  ///< Challenge sent on an inbound connection.
     bool outbound = false;
-    bool open = false;  ///< Messages may be sent.
+    bool open = false;      ///< Messages may be sent.
+    uint32_t features = 0;  ///< Of the peer; none until it has announced them.
 
     FrameScheduler out;
     FrameAssembler in;
@@ -244,7 +245,8 @@
                          PeerMessage message) {
   LinkPtr link = stopped_ ? nullptr : FindLink(peer);
   if (link == nullptr) link = Connect(peer);
-  std::string bytes = EncodePeerMessage(message);
+  std::string bytes =
+      EncodePeerMessage(message, link == nullptr ? 0 : link->features);
   uint64_t tag = next_tag_++;
   if (link == nullptr || !link->out.Push(rank_index, tag, std::move(bytes))) {
     counters_.Add("link_refusals_total",
@@ -339,6 +341,7 @@
   LinkHello hello{version, own_address_,
                   HelloProof(settings_.secret, offered->nonce, own_address_)};
   link->write(EncodeHello(hello));
+  link->features = offered->features;
   link->open = true;
   SendQueued(link);
 }
@@ -356,6 +359,7 @@
     return link->close();
   }
   link->peer = hello->link_address;
+  link->features = hello->features;
   link->open = true;
   // If there is already a link to the same peer, that one remains in use for
   // sending.
--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -172,14 +172,19 @@
   if (!list.Done()) r->Fail();
 }
 
-Json Encode(const ForwardRequest& m) {
-  Json fields = Json::array(
-      {m.attempt, m.request_id, m.caller, m.service, m.route, m.idempotent,
-       m.priority, m.aim_left_ms, m.remaining_ms, m.method,
-       BytesValue(m.target), EncodeHeaders(m.headers), BytesValue(m.body)});
+Json Encode(const ForwardRequest& m, uint32_t features) {
+  Json fields = Json::array({m.attempt, m.request_id, m.caller, m.service,
+                             m.route, m.idempotent, m.priority, m.aim_left_ms,
+                             m.remaining_ms, m.method, BytesValue(m.target),
+                             EncodeHeaders(m.headers), BytesValue(m.body)});
   // Left out without an account, so that members without this field understand
   // the message.
-  if (!m.account.empty()) fields.push_back(m.account);
+  bool detail = (features & kLoadDetailFeature) != 0;
+  if (detail || !m.account.empty()) fields.push_back(m.account);
+  if (detail) {
+    fields.push_back(m.expected_run_ms);
+    fields.push_back(m.max_wait_ms);
+  }
   return Tagged(MessageTag::kForwardRequest, std::move(fields));
 }
 
@@ -199,19 +204,38 @@
   ReadHeaders(r, &m.headers);
   m.body = r->Bytes();
   if (r->Ok() && !r->Done()) m.account = r->String();
+  if (r->Ok() && !r->Done()) m.expected_run_ms = r->Integer();
+  if (r->Ok() && !r->Done()) m.max_wait_ms = r->Integer();
   return m;
 }
 
-Json Encode(const ForwardAnswer& m) {
+Json EncodeLoadDetail(const TargetLoad& load) {
+  Json work = Json::array();
+  for (int work_ms : load.queued_work_ms) work.push_back(work_ms);
+  return Json::array({load.running_work_ms, work, load.slowness_permille});
+}
+
+/// Further elements, of later versions, are ignored.
+void ReadLoadDetail(CborReader* r, TargetLoad* load) {
+  CborReader detail(r->Next());
+  load->running_work_ms = detail.Int();
+  CborReader work(detail.Next());
+  for (int& work_ms : load->queued_work_ms) work_ms = work.Int();
+  load->slowness_permille = detail.Int();
+  if (!detail.Ok() || !work.Done()) r->Fail();
+}
+
+Json Encode(const ForwardAnswer& m, uint32_t features) {
   Json ahead = Json::array();
   for (int count : m.load.ahead) ahead.push_back(count);
-  return Tagged(
-      MessageTag::kForwardAnswer,
-      Json::array({m.attempt, static_cast<int>(m.run_state),
-                   ErrorToCbor(m.error), m.arrived, m.retry_after_ms, m.run_ms,
-                   m.waited_ms, m.load.slots, ahead, m.load.mean_run_ms,
-                   m.response.status, EncodeHeaders(m.response.headers),
-                   BytesValue(m.response.body)}));
+  Json fields = Json::array(
+      {m.attempt, static_cast<int>(m.run_state), ErrorToCbor(m.error),
+       m.arrived, m.retry_after_ms, m.run_ms, m.waited_ms, m.load.slots, ahead,
+       m.load.mean_run_ms, m.response.status, EncodeHeaders(m.response.headers),
+       BytesValue(m.response.body)});
+  if ((features & kLoadDetailFeature) != 0)
+    fields.push_back(EncodeLoadDetail(m.load));
+  return Tagged(MessageTag::kForwardAnswer, std::move(fields));
 }
 
 ForwardAnswer ReadForwardAnswer(CborReader* r) {
@@ -232,6 +256,7 @@
   ReadHeaders(r, &m.response.headers);
   m.response.content_type.clear();
   m.response.body = r->Bytes();
+  if (r->Ok() && !r->Done()) ReadLoadDetail(r, &m.load);
   return m;
 }
 
@@ -380,8 +405,19 @@
 
 }  // namespace
 
-std::string EncodePeerMessage(const PeerMessage& message) {
-  return ToCbor(std::visit([](const auto& m) { return Encode(m); }, message));
+std::string EncodePeerMessage(const PeerMessage& message, uint32_t features) {
+  return ToCbor(std::visit(
+      [features](const auto& m) {
+        using Message = std::decay_t<decltype(m)>;
+        constexpr bool kHasOptionalParts =
+            std::is_same_v<Message, ForwardRequest> ||
+            std::is_same_v<Message, ForwardAnswer>;
+        if constexpr (kHasOptionalParts)
+          return Encode(m, features);
+        else
+          return Encode(m);
+      },
+      message));
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
@@ -465,7 +501,7 @@
 
 std::string EncodeChallenge(const LinkChallenge& c) {
   return ToCbor(Tagged(MessageTag::kChallenge,
-                       Json::array({c.oldest, c.newest, c.nonce})));
+                       Json::array({c.oldest, c.newest, c.nonce, c.features})));
 }
 
 Result<LinkChallenge> DecodeChallenge(std::string_view bytes) {
@@ -481,13 +517,16 @@
   c.oldest = r.Int();
   c.newest = r.Int();
   c.nonce = r.String();
+  c.features = 0;
+  if (r.Ok() && !r.Done()) c.features = static_cast<uint32_t>(r.Unsigned());
   if (!r.Ok()) return ProtocolError("challenge");
   return c;
 }
 
 std::string EncodeHello(const LinkHello& h) {
-  return ToCbor(Tagged(MessageTag::kHello,
-                       Json::array({h.version, h.link_address, h.proof})));
+  return ToCbor(
+      Tagged(MessageTag::kHello,
+             Json::array({h.version, h.link_address, h.proof, h.features})));
 }
 
 Result<LinkHello> DecodeHello(std::string_view bytes) {
@@ -501,6 +540,8 @@
   h.version = r.Int();
   h.link_address = r.String();
   h.proof = r.String();
+  h.features = 0;
+  if (r.Ok() && !r.Done()) h.features = static_cast<uint32_t>(r.Unsigned());
   if (!r.Ok()) return ProtocolError("hello");
   return h;
 }
--- a/banyanloft/links/peer_message.h
+++ b/banyanloft/links/peer_message.h
@@ -22,8 +22,15 @@
 inline constexpr int kMinProtocolVersion = 3;
 inline constexpr int kMaxProtocolVersion = 3;
 
-/// Encodes a link message as CBOR.
-std::string EncodePeerMessage(const PeerMessage& message);
+/// Optional parts of messages that a daemon understands, as a bit set. Daemons
+/// announce them when a link is opened; earlier ones announce none and reject
+/// messages with fields that they don't know.
+enum LinkFeature : uint32_t { kLoadDetailFeature = 1 };
+inline constexpr uint32_t kLinkFeatures = kLoadDetailFeature;
+
+/// Encodes a link message as CBOR for a peer that understands `features`.
+std::string EncodePeerMessage(const PeerMessage& message,
+                              uint32_t features = kLinkFeatures);
 /// Decodes a link message; kProtocolError if it is invalid.
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes);
 
@@ -38,11 +45,13 @@
   int oldest = kMinProtocolVersion;
   int newest = kMaxProtocolVersion;
   std::string nonce;
+  uint32_t features = kLinkFeatures;
 };
 struct LinkHello {
   int version = kMaxProtocolVersion;
   std::string link_address;  ///< Where the connecting daemon accepts links.
   std::string proof;         ///< HMAC of nonce and address.
+  uint32_t features = kLinkFeatures;
 };
 std::string EncodeChallenge(const LinkChallenge& challenge);
 Result<LinkChallenge> DecodeChallenge(std::string_view bytes);
--- a/banyanloft/mesh/admission_controller.cc
+++ b/banyanloft/mesh/admission_controller.cc
@@ -342,8 +342,9 @@
   limiter_.OnSent(now);
   ++running_by_class_[started];
   exclusive_running_ += work.exclusive ? 1 : 0;
-  running_.emplace(work.id, RunningWork{work.urgency, work.aim_left_ms,
-                                        work.route, work.exclusive, now});
+  running_.emplace(work.id,
+                   RunningWork{work.urgency, work.aim_left_ms, work.route,
+                               work.exclusive, now, work.cost_ms});
   decisions->push_back(
       {AdmissionDecision::Type::kStart, work.id, ErrorKind::kOverloaded, 0, 0});
 }
@@ -360,20 +361,48 @@
       {AdmissionDecision::Type::kRefuse, work.id, error, retry_ms, wait_ms});
 }
 
-TargetLoad AdmissionController::Load(TimeMs now) const {
+TargetLoad AdmissionController::Load(TimeMs now, uint64_t ended) const {
   TargetLoad load;
   load.slots = settings_.slots;
   load.mean_run_ms =
       static_cast<int>(std::max<int64_t>(0, run_times_.OverallMs()));
-  int ahead = Running();
+  int ahead = Running() - static_cast<int>(running_.count(ended));
   for (size_t cls = 0; cls < waiting_.size(); ++cls) {
     ahead += static_cast<int>(waiting_[cls].size());
     load.ahead[cls] = ahead;
   }
+  AddWork(now, ended, &load);
   if (limiter_.Limit()) LimitLoad(now, &load);
   return load;
 }
 
+/// Adds the expected work left. A run that nears or exceeds its expected time
+/// is expected to take half of its age longer: with heavy-tailed run times, the
+/// longer a run has taken, the longer it still takes.
+void AdmissionController::AddWork(TimeMs now, uint64_t ended,
+                                  TargetLoad* load) const {
+  constexpr int64_t kMaxWorkMs = 1000000000;
+  auto cost_of = [&](const auto& work, int64_t aim_ms) {
+    return work.cost_ms >= 0 ? work.cost_ms
+                             : ExpectedRunMs(now, work.route, aim_ms);
+  };
+  int64_t running_ms = 0;
+  for (const auto& [id, work] : running_) {
+    if (id == ended) continue;
+    int64_t cost_ms = cost_of(work, work.aim_ms);
+    int64_t age_ms = now - work.started;
+    running_ms += std::max(cost_ms - age_ms, age_ms / 2);
+  }
+  load->running_work_ms = static_cast<int>(std::min(running_ms, kMaxWorkMs));
+  int64_t queued_ms = 0;
+  for (size_t cls = 0; cls < waiting_.size(); ++cls) {
+    for (const AdmissionRequest& work : waiting_[cls])
+      queued_ms += cost_of(work, work.aim_left_ms);
+    load->queued_work_ms[cls] =
+        static_cast<int>(std::min(queued_ms, kMaxWorkMs));
+  }
+}
+
 /// Replaces slots and run time so that their ratio is the rate limit, if that
 /// is lower. While the limit allows no request, all slots count as occupied.
 void AdmissionController::LimitLoad(TimeMs now, TargetLoad* load) const {
@@ -386,6 +415,8 @@
   double run_ms =
       per_ms * max_run_ms > load->slots ? load->slots / per_ms : max_run_ms;
   load->mean_run_ms = static_cast<int>(run_ms);
+  // The rate decides when work starts, not how long it takes.
+  load->running_work_ms = -1;
   if (limiter_.Allows(now)) return;
   for (int& ahead : load->ahead) ahead = std::max(ahead, load->slots);
 }
--- a/banyanloft/mesh/admission_controller.h
+++ b/banyanloft/mesh/admission_controller.h
@@ -66,6 +66,9 @@
   TimeMs offered;
   TimeMs deadline;         ///< When the final answer is due.
   bool exclusive = false;  ///< Must not run together with other exclusive work.
+  /// Expected run time as reported with the load, in ms; negative: that of the
+  /// route.
+  int64_t cost_ms = -1;
   /// Sort key within its class, set by the controller: the end of its aim, or
   /// its deadline if it can no longer meet the aim.
   TimeMs due;
@@ -123,8 +126,9 @@
   int Waiting() const;
   std::optional<double> RateLimit() const { return limiter_.Limit(); }
   /// Load as seen by callers. Under a rate limit, slots and run time are those
-  /// of a server that is as fast as the limit allows.
-  TargetLoad Load(TimeMs now) const;
+  /// of a server that is as fast as the limit allows. `ended` is started work
+  /// that ends now and does not count any more; 0: none.
+  TargetLoad Load(TimeMs now, uint64_t ended = 0) const;
   /// Measured mean run time of a route, in ms; negative if there is no sample.
   int64_t MeanRunMs(TimeMs now, const std::string& route) const {
     return run_times_.MeanMs(now, route);
@@ -139,6 +143,7 @@
     std::string route;
     bool exclusive;
     TimeMs started;
+    int64_t cost_ms;
   };
   int64_t RunningAgeMs(TimeMs now, const std::string& route) const;
   int64_t ExpectedRunMs(TimeMs now, const std::string& route,
@@ -149,6 +154,7 @@
   int64_t RateWaitMs(TimeMs now, int urgency, int ahead) const;
   int64_t SlotWaitMs(TimeMs now, const AdmissionRequest& offer,
                      int64_t ahead_ms) const;
+  void AddWork(TimeMs now, uint64_t ended, TargetLoad* load) const;
   void LimitLoad(TimeMs now, TargetLoad* load) const;
   bool MissesAim(TimeMs now, const AdmissionRequest& work) const;
   int64_t WaitLimitMs(TimeMs now, const AdmissionRequest& work) const;
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -103,13 +103,26 @@
   offer.route = work.request.route;
   offer.aim_left_ms = work.request.aim_left_ms;
   offer.deadline = work.deadline;
+  offer.cost_ms = speed_.ExpectedMs(now, work.request.expected_run_ms);
   offer.exclusive = crash_guard_.Check(now, work.fingerprint) ==
                     CrashGuard::Verdict::kExclusive;
+  if (MovesOn(now, work.request, offer)) {
+    counters_.Add("runs_moved_on_total");
+    return AnswerRefusal(now, id, ErrorKind::kOverloaded, 0, actions);
+  }
   AdmissionController::Decisions decisions;
   admission_.Offer(now, std::move(offer), &decisions);
   ApplyDecisions(now, decisions, actions);
 }
 
+/// Whether another target is expected to finish the request earlier.
+bool BackendRunner::MovesOn(TimeMs now, const ForwardRequest& request,
+                            AdmissionRequest offer) const {
+  if (request.max_wait_ms < 0) return false;
+  offer.due = now + offer.aim_left_ms;
+  return admission_.ExpectedWaitMs(now, offer) > request.max_wait_ms;
+}
+
 std::optional<ErrorKind> BackendRunner::CheckNew(TimeMs now,
                                                  const Work& work) const {
   bool starts = accepting_ && FinishesBeforeStop(now, work.request.route);
@@ -201,20 +214,28 @@
        {"expected_wait_ms", std::to_string(expected_wait_ms)},
        {"waited_ms", std::to_string(now - work.arrived)},
        {"retry_after_ms", std::to_string(retry_after_ms)}}});
+  AnswerRefusal(now, id, error, retry_after_ms, actions);
+}
+
+void BackendRunner::AnswerRefusal(TimeMs now, uint64_t id, ErrorKind error,
+                                  int64_t retry_after_ms, Actions* actions) {
+  const Work& work = works_.at(id);
   ForwardAnswer answer;
   answer.run_state = RunState::kNotRun;
   answer.error = error;
   answer.retry_after_ms = retry_after_ms;
   answer.waited_ms = now - work.arrived;
-  Answer(now, work, std::move(answer), actions);
+  Answer(now, id, std::move(answer), actions);
   Drop(now, id, actions);
 }
 
-void BackendRunner::Answer(TimeMs now, const Work& work, ForwardAnswer answer,
+void BackendRunner::Answer(TimeMs now, uint64_t id, ForwardAnswer answer,
                            Actions* actions) {
+  const Work& work = works_.at(id);
   if (work.abandoned) return;
   answer.attempt = work.from.attempt;
-  answer.load = admission_.Load(now);
+  answer.load = admission_.Load(now, id);
+  answer.load.slowness_permille = speed_.SlownessPermille(now);
   actions->push_back(
       SendForwardAnswer{work.from, work.request.priority, std::move(answer)});
 }
@@ -237,6 +258,7 @@
   if (result.notice) lost_runs_.OnResponse(work.started);
   bool answered = result.type == RunResult::Type::kAnswered;
   int64_t run_ms = answered ? now - work.started : -1;
+  if (answered) speed_.Add(now, run_ms, work.request.expected_run_ms);
   counters_.Add("run_results_total", NameOf(result.type));
   histograms_.Add("run_ms", work.request.route,
                   UrgencyOf(work.request.priority), now - work.started);
@@ -272,7 +294,7 @@
         IsKnownNotRun(result.type) ? RunState::kNotRun : RunState::kUnknown;
   }
   uint64_t fingerprint = work.fingerprint;
-  Answer(now, work, std::move(answer), actions);
+  Answer(now, result.run, std::move(answer), actions);
   Drop(now, result.run, actions);
   RecordLostRun(now, result.type, fingerprint, actions);
   // Before the slot is released: queued requests would fail in the same way.
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -14,6 +14,7 @@
 #include "banyanloft/core/random.h"
 #include "banyanloft/mesh/admission_controller.h"
 #include "banyanloft/mesh/backend_notice.h"
+#include "banyanloft/mesh/cost_model.h"
 #include "banyanloft/mesh/instance_registry.h"
 #include "banyanloft/mesh/mesh_message.h"
 
@@ -192,6 +193,10 @@
   };
 
   static bool IsLeaving(InstanceState state);
+  bool MovesOn(TimeMs now, const ForwardRequest& request,
+               AdmissionRequest offer) const;
+  void AnswerRefusal(TimeMs now, uint64_t id, ErrorKind error,
+                     int64_t retry_after_ms, Actions* actions);
   std::optional<ErrorKind> CheckNew(TimeMs now, const Work& work) const;
   bool FinishesBeforeStop(TimeMs now, const std::string& route) const;
   void RefuseUnfinishable(TimeMs now, Actions* actions);
@@ -200,8 +205,7 @@
                       Actions* actions);
   void Refuse(TimeMs now, uint64_t id, ErrorKind error, int64_t retry_after_ms,
               int64_t expected_wait_ms, Actions* actions);
-  void Answer(TimeMs now, const Work& work, ForwardAnswer answer,
-              Actions* actions);
+  void Answer(TimeMs now, uint64_t id, ForwardAnswer answer, Actions* actions);
   void Drop(TimeMs now, uint64_t id, Actions* actions);
   void OnInstanceChange(TimeMs now, InstanceRegistry::Change change,
                         const char* source, Actions* actions);
@@ -233,6 +237,7 @@
   TimeMs start_;  ///< Of this process.
   InstanceRegistry registry_;
   AdmissionController admission_;
+  RelativeSpeed speed_;
   CrashGuard crash_guard_;
   bool accepting_ = true;
   std::optional<TimeMs> stop_at_;  ///< End of the planned stop, if any.
--- a/banyanloft/mesh/forwarder.cc
+++ b/banyanloft/mesh/forwarder.cc
@@ -75,6 +75,12 @@
   }
   pending.service = splitter_.Next(*route);
   pending.request = std::move(request);
+  pending.cost = CostModel::KeyOf(
+      {route->id, pending.request.method,
+       SegmentBelow(pending.request.target, route->path_prefix.size()),
+       account != nullptr ? std::string_view(account->name)
+                          : std::string_view(),
+       pending.request.body.size()});
   if (pending.prior_wait_ms > 0)
     counters_.Add("forward_returned_total", pending.service);
   budget_.OnRequest(now, pending.service);
@@ -96,7 +102,7 @@
   std::vector<TargetCandidate> candidates =
       directory_->CandidatesOf(pending.service);
   TargetQuery query;
-  query.route = route.id;
+  query.cost = pending.cost;
   query.urgency = UrgencyOf(pending.priority);
   query.aim_left_ms =
       pending.arrived + route.aim_ms - pending.prior_wait_ms - now;
@@ -114,7 +120,12 @@
   }
 
   uint64_t attempt = next_attempt_++;
-  pending.open.push_back({attempt, choice->id, now});
+  // The last report is up to a second old: the target may know better. An
+  // attempt moves on once, and only within the zone.
+  bool may_move = choice->max_wait_ms >= 0 && !pending.moved &&
+                  pending.open.empty() &&
+                  pending.request.body.size() <= settings_.max_moved_bytes;
+  pending.open.push_back({attempt, choice->id, now, may_move});
   pending.target = choice->id;
   request_by_attempt_[attempt] = id;
   int64_t share_ms =
@@ -125,7 +136,8 @@
                    pending.open.size() == 1;
   pending.hedge_at =
       may_hedge ? now + std::min(share_ms, left_ms) : pending.deadline;
-  selector_.OnSent(choice->id);
+  selector_.OnSent(choice->id, choice->cost_ms);
+  histograms_.Add("expected_ms", route.id, query.urgency, choice->expected_ms);
 
   ForwardRequest forward;
   forward.attempt = attempt;
@@ -142,6 +154,8 @@
   forward.target = pending.request.target;
   forward.headers = pending.request.headers;
   forward.body = pending.request.body;
+  if (may_move) forward.max_wait_ms = choice->max_wait_ms;
+  forward.expected_run_ms = selector_.AverageRunMs(now, pending.cost);
   counters_.Add("forward_attempts_total", choice->same_zone ? "near" : "far");
   actions->push_back(SendForward{choice->id, std::move(forward)});
 }
@@ -190,9 +204,17 @@
   Attempt attempt = EndAttempt(&pending, answer.attempt);
   MemberId target = attempt.target;
   RecordLinkLatency(now, pending, attempt, answer);
+  bool moves = attempt.may_move && answer.error == ErrorKind::kOverloaded &&
+               answer.run_state == RunState::kNotRun && !answer.arrived &&
+               pending.open.empty() && !queued_cancelled_;
+  if (moves) {
+    pending.moved = true;
+    counters_.Add("forward_moved_total");
+    selector_.OnReport(now, target, answer.load, pending.cost, answer.run_ms);
+    return StartAttempt(now, id, actions);
+  }
   pending.excluded.push_back(target);
-  selector_.OnReport(now, target, answer.load, pending.route->id,
-                     answer.run_ms);
+  selector_.OnReport(now, target, answer.load, pending.cost, answer.run_ms);
 
   if (answer.error && answer.run_state == RunState::kNotRun) {
     if (answer.arrived) selector_.OnOutcome(now, target, true);
--- a/banyanloft/mesh/forwarder.h
+++ b/banyanloft/mesh/forwarder.h
@@ -51,6 +51,9 @@
   /// Retry-After of a request that is refused because it crashes backend
   /// servers, in ms.
   int64_t contained_retry_ms = 5000;
+  /// Longest body of a request whose attempt may move on to another target, in
+  /// bytes: it is sent a second time.
+  size_t max_moved_bytes = 8 * 1024;
   size_t max_requests = 20000;  ///< Maximum requests in flight.
 };
 
@@ -146,19 +149,22 @@
     uint64_t id = 0;
     MemberId target = 0;
     TimeMs sent;
+    bool may_move = false;  ///< Sent with a longest wait.
   };
   struct Pending {
     RouteTablePtr table;
     const HttpRoute* route = nullptr;
     const ClientAccount* account = nullptr;  ///< Of `table`; may be null.
+    CostKey cost;                            ///< Key of the expected run time.
     int priority = 0;  ///< Rank by the account, then by the route.
     MeshRequest request;
     std::string service;
     TimeMs arrived;
     int64_t prior_wait_ms = 0;  ///< Client's wait before this request, in ms.
     TimeMs deadline;
-    int arrivals = 0;  ///< Attempts that a backend server may have received.
-    int refusals = 0;  ///< Attempts refused without having run.
+    int arrivals = 0;    ///< Attempts that a backend server may have received.
+    int refusals = 0;    ///< Attempts refused without having run.
+    bool moved = false;  ///< An attempt has moved on because of its wait.
     bool maybe_ran = false;
     std::vector<MemberId> excluded;
     std::vector<Attempt> open;  ///< Open attempts, oldest first.
--- a/banyanloft/mesh/mesh_message.h
+++ b/banyanloft/mesh/mesh_message.h
@@ -61,6 +61,15 @@
   /// Mean run time over all routes, in ms. Under a rate limit, the time between
   /// two starts times the slots.
   int mean_run_ms = 0;
+  /// Expected remaining time of all running requests, in ms; negative: not
+  /// reported, and neither are the fields below.
+  int running_work_ms = -1;
+  /// For each urgency class: expected run time of the requests queued in this
+  /// class and the more urgent ones, in ms.
+  std::array<int, kUrgencyClasses> queued_work_ms{};
+  /// Run time relative to that on a target of average speed, in 1/1000;
+  /// negative: unknown.
+  int slowness_permille = -1;
 };
 
 /// One attempt of a request, from the ingress daemon to the target's daemon.
@@ -79,6 +88,11 @@
   std::string target;
   HttpHeaders headers;
   std::string body;
+  /// Expected run time on a target of average speed, in ms; negative: unknown.
+  int64_t expected_run_ms = -1;
+  /// The target refuses the request if it expects a longer wait, because
+  /// another target is expected to finish earlier, in ms; negative: no limit.
+  int64_t max_wait_ms = -1;
 };
 
 /// The answer to an attempt.
--- a/banyanloft/mesh/target_selector.cc
+++ b/banyanloft/mesh/target_selector.cc
@@ -1,6 +1,7 @@
 #include "banyanloft/mesh/target_selector.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace banyanloft {
 namespace {
@@ -17,6 +18,15 @@
 constexpr int kMaxEjectDoublings = 4;
 constexpr int64_t kFailureHalfLifeMs = 1000;
 constexpr int64_t kMaxHalvings = 10;
+/// Age from which the measured speed of a target is ignored, in ms: a slow
+/// period may have ended, which no sample shows if the target is not selected.
+constexpr int64_t kMaxSlownessAgeMs = 3000;
+constexpr double kMaxSlowness = 10;
+/// Weight of a reported mean in the speed of a target. It is an average
+/// already.
+constexpr double kMeanWeight = 0.5;
+/// Weight of a single run.
+constexpr double kRunWeight = 0.125;
 
 bool Contains(const std::vector<MemberId>& list, MemberId id) {
   return std::find(list.begin(), list.end(), id) != list.end();
@@ -24,14 +34,6 @@
 
 }  // namespace
 
-int64_t TargetSelector::RunMs(TimeMs now, const Target& target,
-                              const std::string& route) const {
-  int64_t own_ms = target.runs.MeanMs(now, route);
-  if (own_ms >= 0) return own_ms;
-  int64_t all_ms = all_runs_.MeanMs(now, route);
-  return all_ms >= 0 ? all_ms : settings_.default_run_ms;
-}
-
 /// The failure rate halves with each second without an outcome, so that a
 /// target that is not selected because of its failures is tried again.
 int64_t TargetSelector::FailurePermille(TimeMs now, const Target& target) {
@@ -39,81 +41,128 @@
   return halvings > kMaxHalvings ? 0 : target.failure_permille >> halvings;
 }
 
-int64_t TargetSelector::ExpectedMs(TimeMs now, const Target& target,
-                                   const TargetQuery& query) const {
-  int64_t run_ms = RunMs(now, target, query.route);
-  int64_t wait_ms = 0;
-  int ahead = target.outstanding;
-  int slots = 1;
-  if (target.load.slots > 0) {
-    slots = target.load.slots;
-    bool fresh = now - target.reported_at < settings_.max_report_age_ms;
-    if (fresh) {
-      int reported_ahead =
-          target.load.ahead[static_cast<size_t>(query.urgency)];
-      ahead = std::max(ahead, reported_ahead + target.sent_since_report);
-    }
-    if (ahead >= slots) {
-      wait_ms = (ahead - slots + 1) *
-                static_cast<int64_t>(target.load.mean_run_ms) / slots;
-    }
+/// Without a recent measurement, a target counts as fast as the others, so that
+/// one that was slow is tried again.
+double TargetSelector::Slowness(TimeMs now, const Target& target) {
+  bool fresh = now - target.measured_at <= kMaxSlownessAgeMs;
+  return fresh ? target.slowness * target.recent_slowness : 1;
+}
+
+/// Expected time until the target has a free slot for a new request: the work
+/// that is started before, divided by the slots. Without reported work, each
+/// request ahead counts as the mean run time.
+int64_t TargetSelector::WaitMs(TimeMs now, const Target& target,
+                               int urgency) const {
+  const TargetLoad& load = target.load;
+  if (load.slots <= 0) return 0;
+  size_t cls = static_cast<size_t>(urgency);
+  bool fresh = now - target.reported_at < settings_.max_report_age_ms;
+  int reported = fresh ? load.ahead[cls] + target.sent_since_report : 0;
+  int ahead = std::max(target.outstanding, reported);
+  if (ahead < load.slots) return 0;
+  if (!fresh || load.running_work_ms < 0) {
+    return (ahead - load.slots + 1) * static_cast<int64_t>(load.mean_run_ms) /
+           load.slots;
+  }
+  // Own attempts since the report occupy the slots that were free, then queue.
+  int free = std::max(0, load.slots - load.ahead[cls]);
+  int sent = target.sent_since_report;
+  int64_t started_ms =
+      sent > 0 ? target.sent_cost_ms * std::min(sent, free) / sent : 0;
+  int64_t running_ms = load.running_work_ms + started_ms;
+  int64_t queued_ms =
+      load.queued_work_ms[cls] + target.sent_cost_ms - started_ms;
+  return (queued_ms + running_ms / load.slots) / load.slots;
+}
+
+/// Estimates the expected time of each candidate that may be selected.
+void TargetSelector::Score(TimeMs now,
+                           const std::vector<TargetCandidate>& candidates,
+                           const TargetQuery& query,
+                           const std::vector<MemberId>& excluded,
+                           bool admit_ejected) {
+  double run_ms = costs_.ExpectedMs(now, query.cost);
+  if (run_ms < 0) run_ms = static_cast<double>(settings_.default_run_ms);
+  for (const TargetCandidate& candidate : candidates) {
+    if (Contains(excluded, candidate.id)) continue;
+    const Target& target = targets_[candidate.id];
+    if (now < target.avoid_until) continue;
+    if (!admit_ejected && now < target.ejected_until) continue;
+    int64_t cost_ms = std::llround(run_ms * Slowness(now, target));
+    int64_t expected_ms =
+        cost_ms + WaitMs(now, target, query.urgency) +
+        FailurePermille(now, target) * kFailurePenaltyMs / kPermille;
+    if (candidate.suspect) expected_ms += kSuspectPenaltyMs;
+    int64_t zone_ms = candidate.same_zone ? 0 : settings_.cross_zone_penalty_ms;
+    scored_.push_back(
+        {{candidate.id, expected_ms, candidate.same_zone, cost_ms},
+         expected_ms + zone_ms});
   }
-  return wait_ms + run_ms +
-         FailurePermille(now, target) * kFailurePenaltyMs / kPermille;
 }
 
-bool TargetSelector::Usable(TimeMs now, const Target& target) const {
-  return now >= target.ejected_until && now >= target.avoid_until;
+/// Selects at random among the scored targets whose time, including the cost of
+/// their zone, is close to `best_ms`.
+TargetChoice TargetSelector::RandomNear(int64_t best_ms, bool same_zone) {
+  int64_t limit_ms =
+      best_ms + std::max(settings_.spread_ms,
+                         best_ms * settings_.spread_permille / kPermille);
+  const Scored* selected = nullptr;
+  int64_t next_ms = -1;  // Least time of the targets that are not selected.
+  auto pass_over = [&](const Scored& scored) {
+    if (next_ms < 0 || scored.price_ms < next_ms) next_ms = scored.price_ms;
+  };
+  uint64_t near = 0;
+  for (const Scored& scored : scored_) {
+    if (same_zone && !scored.choice.same_zone) continue;
+    // Reservoir sampling: each of the near ones is selected equally often.
+    bool select = scored.price_ms <= limit_ms && random_.Below(++near) == 0;
+    if (selected != nullptr) pass_over(select ? *selected : scored);
+    if (select)
+      selected = &scored;
+    else if (selected == nullptr)
+      pass_over(scored);
+  }
+  TargetChoice choice = selected->choice;
+  if (next_ms >= 0 && choice.same_zone) {
+    choice.max_wait_ms = std::max(next_ms, choice.expected_ms) -
+                         choice.cost_ms + settings_.move_margin_ms;
+  }
+  return choice;
 }
 
 std::optional<TargetChoice> TargetSelector::Choose(
     TimeMs now, const std::vector<TargetCandidate>& candidates,
     const TargetQuery& query, const std::vector<MemberId>& excluded) {
-  std::optional<TargetChoice> best_same_zone;
-  std::optional<TargetChoice> best;
-  // The second pass admits ejected targets if there is no other.
-  for (int pass = 0; pass < 2 && !best; ++pass) {
-    // Start at a random candidate to spread the load over equal targets.
-    size_t count = candidates.size();
-    size_t start = random_.Below(count);
-    for (size_t i = 0; i < count; ++i) {
-      const TargetCandidate& candidate = candidates[(start + i) % count];
-      if (Contains(excluded, candidate.id)) continue;
-      const Target& target = targets_[candidate.id];
-      if (pass == 0 && !Usable(now, target)) continue;
-      if (pass == 1 && now < target.avoid_until) continue;
-      int64_t expected_ms = ExpectedMs(now, target, query);
-      if (candidate.suspect) expected_ms += kSuspectPenaltyMs;
-      TargetChoice choice{candidate.id, expected_ms, candidate.same_zone};
-      if (candidate.same_zone &&
-          (!best_same_zone || expected_ms < best_same_zone->expected_ms))
-        best_same_zone = choice;
-      int64_t cost_ms =
-          expected_ms +
-          (candidate.same_zone ? 0 : settings_.cross_zone_penalty_ms);
-      int64_t best_ms =
-          best ? best->expected_ms +
-                     (best->same_zone ? 0 : settings_.cross_zone_penalty_ms)
-               : 0;
-      if (!best || cost_ms < best_ms) best = choice;
-    }
+  scored_.clear();
+  Score(now, candidates, query, excluded, false);
+  if (scored_.empty()) Score(now, candidates, query, excluded, true);
+  if (scored_.empty()) return std::nullopt;
+  const Scored* best = nullptr;
+  const Scored* best_same_zone = nullptr;
+  for (const Scored& scored : scored_) {
+    if (best == nullptr || scored.price_ms < best->price_ms) best = &scored;
+    if (!scored.choice.same_zone) continue;
+    if (best_same_zone == nullptr || scored.price_ms < best_same_zone->price_ms)
+      best_same_zone = &scored;
   }
-  if (!best_same_zone) return best;
+  if (best_same_zone == nullptr) return RandomNear(best->price_ms, false);
+  int64_t near_ms = best_same_zone->choice.expected_ms;
   int64_t limit_ms =
       query.aim_left_ms * settings_.same_zone_share_permille / kPermille;
-  bool stay = best_same_zone->expected_ms <= limit_ms;
+  bool stay = near_ms <= limit_ms;
   // If no target is expected to meet the aim, sending the request to another
   // zone only adds traffic, unless it is answered much earlier there.
-  if (best->expected_ms > limit_ms)
-    stay = best_same_zone->expected_ms * kPermille <=
-           best->expected_ms * settings_.late_same_zone_permille;
-  return stay ? best_same_zone : best;
+  if (best->choice.expected_ms > limit_ms)
+    stay = near_ms * kPermille <=
+           best->choice.expected_ms * settings_.late_same_zone_permille;
+  return stay ? RandomNear(near_ms, true) : RandomNear(best->price_ms, false);
 }
 
-void TargetSelector::OnSent(MemberId id) {
+void TargetSelector::OnSent(MemberId id, int64_t cost_ms) {
   Target& target = targets_[id];
   ++target.outstanding;
   ++target.sent_since_report;
+  target.sent_cost_ms += cost_ms;
 }
 
 void TargetSelector::OnEnded(MemberId id) {
@@ -121,15 +170,32 @@
   target.outstanding = std::max(0, target.outstanding - 1);
 }
 
+/// Compares the run time with the one expected on this target.
+void TargetSelector::MeasureSlowness(TimeMs now, const CostKey& cost,
+                                     int64_t run_ms, Target* target) {
+  double expected_ms = costs_.ExpectedMs(now, cost) * target->slowness;
+  if (expected_ms < 0) return;
+  double sample =
+      std::clamp(static_cast<double>(run_ms) / std::max(1.0, expected_ms),
+                 1 / kMaxSlowness, kMaxSlowness);
+  bool fresh = now - target->measured_at <= kMaxSlownessAgeMs;
+  double mean = fresh ? target->recent_slowness : 1;
+  target->recent_slowness = mean + (sample - mean) * kRunWeight;
+  target->measured_at = now;
+}
+
 void TargetSelector::OnReport(TimeMs now, MemberId id, const TargetLoad& load,
-                              const std::string& route, int64_t run_ms) {
+                              const CostKey& cost, int64_t run_ms) {
   Target& target = targets_[id];
   target.load = load;
   target.reported_at = now;
   target.sent_since_report = 0;
+  target.sent_cost_ms = 0;
+  if (load.slowness_permille > 0)
+    target.slowness = static_cast<double>(load.slowness_permille) / kPermille;
   if (run_ms < 0) return;
-  target.runs.Add(now, route, run_ms);
-  all_runs_.Add(now, route, run_ms);
+  costs_.Add(now, cost, run_ms, Slowness(now, target));
+  MeasureSlowness(now, cost, run_ms, &target);
 }
 
 void TargetSelector::OnOutcome(TimeMs now, MemberId id, bool failed) {
--- a/banyanloft/mesh/target_selector.h
+++ b/banyanloft/mesh/target_selector.h
@@ -1,15 +1,16 @@
 #pragma once
 
+#include <cmath>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "banyanloft/core/random.h"
 #include "banyanloft/core/time.h"
+#include "banyanloft/mesh/cost_model.h"
 #include "banyanloft/mesh/mesh_message.h"
-#include "banyanloft/mesh/run_time.h"
 #include "banyanloft/run_once/key.h"
 
 namespace banyanloft {
@@ -30,6 +31,18 @@
   /// target in the local zone for which it is still preferred, relative to that
   /// of the best target, in 1/1000.
   int64_t late_same_zone_permille = 2000;
+  /// Targets whose expected time exceeds that of the best by no more than this
+  /// fraction of it, in 1/1000, are selected at random. Always selecting the
+  /// best would make all daemons send to the same target until it reports
+  /// again.
+  int64_t spread_permille = 100;
+  /// The same as a time, in ms: differences below it are within the precision
+  /// of the estimates.
+  int64_t spread_ms = 3;
+  /// Time by which another target must be expected to finish earlier until an
+  /// attempt moves on to it, in ms: several round trips within a zone.
+  int64_t move_margin_ms = 10;
+  CostModelSettings costs;
   int failures_to_eject = 4;    ///< Consecutive failures that eject a target.
   int64_t eject_base_ms = 500;  ///< First ejection, in ms; doubles each time.
   int64_t max_eject_ms = 3000;  ///< Maximum ejection before jitter, in ms.
@@ -45,7 +58,7 @@
 
 /// Properties of a request that matter for target selection.
 struct TargetQuery {
-  std::string route;
+  CostKey cost;  ///< Key of the expected run time.
   int urgency = 0;
   int64_t aim_left_ms = 0;  ///< Time left until the aim, in ms.
 };
@@ -55,31 +68,41 @@
   MemberId id = 0;
   int64_t expected_ms = 0;  ///< Expected wait and run time, in ms.
   bool same_zone = true;
+  int64_t cost_ms = 0;  ///< Expected run time, in ms.
+  /// Wait from which another target is expected to finish earlier, in ms;
+  /// negative: there is no other target.
+  int64_t max_wait_ms = -1;
 };
 
-/// Selects the target with the earliest expected completion: within the local
-/// zone as long as that meets the request's aim, otherwise in any zone. The
-/// estimates are based on measured run times and on the load reported by the
-/// daemons of the targets, not on health or load endpoints. Also ejects targets
-/// that fail repeatedly. Deterministic; not thread safe.
+/// Selects one of the targets with the earliest expected completion: within the
+/// local zone as long as that meets the request's aim, otherwise in any zone.
+/// The estimates are based on measured run times and on the work that the
+/// daemons of the targets report (see docs/design/placing.md), not on health or
+/// load endpoints. Also ejects targets that fail repeatedly. Deterministic; not
+/// thread safe.
 class TargetSelector {
  public:
   TargetSelector(const TargetSelectorSettings& settings, uint64_t seed)
-      : settings_(settings), random_(seed) {}
+      : settings_(settings), random_(seed), costs_(settings.costs) {}
 
   /// The best of `candidates` that is not in `excluded`, if any. `candidates`
   /// must not be empty.
   std::optional<TargetChoice> Choose(
       TimeMs now, const std::vector<TargetCandidate>& candidates,
       const TargetQuery& query, const std::vector<MemberId>& excluded);
-  /// An attempt was sent to the target.
-  void OnSent(MemberId target);
+  /// Expected run time of a request on a target of average speed, in ms;
+  /// negative if it is not known.
+  int64_t AverageRunMs(TimeMs now, const CostKey& cost) const {
+    return std::llround(costs_.ExpectedMs(now, cost));
+  }
+  /// An attempt was sent to the target, with this expected run time.
+  void OnSent(MemberId target, int64_t cost_ms);
   /// An attempt ended, with or without an answer.
   void OnEnded(MemberId target);
-  /// The daemon of the target answered with its load and the run time, which is
-  /// negative if it was not measured.
+  /// The daemon of the target answered a request with its load and the run
+  /// time, which is negative if it was not measured.
   void OnReport(TimeMs now, MemberId target, const TargetLoad& load,
-                const std::string& route, int64_t run_ms);
+                const CostKey& cost, int64_t run_ms);
   /// A request on the target succeeded or failed.
   void OnOutcome(TimeMs now, MemberId target, bool failed);
   /// Excludes the target for a while, for example because it is draining.
@@ -93,9 +116,15 @@
   struct Target {
     int outstanding = 0;
     int sent_since_report = 0;
+    int64_t sent_cost_ms = 0;  ///< Expected run time of those.
     TargetLoad load;
     TimeMs reported_at{-1000000};
-    RunTimes runs;
+    /// Reported run time relative to the mean over all targets.
+    double slowness = 1;
+    /// Run times of this daemon's last requests, relative to those expected by
+    /// `slowness`: shows a slow period that has just begun.
+    double recent_slowness = 1;
+    TimeMs measured_at{-1000000};  ///< Last run time.
     int failures = 0;
     int ejections = 0;
     TimeMs ejected_until{-1000000};
@@ -104,17 +133,27 @@
     TimeMs outcome_at;             ///< When the last request ended.
   };
 
-  int64_t ExpectedMs(TimeMs now, const Target& target,
-                     const TargetQuery& query) const;
-  int64_t RunMs(TimeMs now, const Target& target,
-                const std::string& route) const;
+  /// A usable candidate with its estimate.
+  struct Scored {
+    TargetChoice choice;
+    int64_t price_ms = 0;  ///< Expected time with the cost of its zone.
+  };
+
+  int64_t WaitMs(TimeMs now, const Target& target, int urgency) const;
+  static double Slowness(TimeMs now, const Target& target);
+  void MeasureSlowness(TimeMs now, const CostKey& cost, int64_t run_ms,
+                       Target* target);
+  void Score(TimeMs now, const std::vector<TargetCandidate>& candidates,
+             const TargetQuery& query, const std::vector<MemberId>& excluded,
+             bool admit_ejected);
+  TargetChoice RandomNear(int64_t best_ms, bool same_zone);
   static int64_t FailurePermille(TimeMs now, const Target& target);
-  bool Usable(TimeMs now, const Target& target) const;
 
   TargetSelectorSettings settings_;
   Random random_;
-  std::map<MemberId, Target> targets_;
-  RunTimes all_runs_;
+  std::unordered_map<MemberId, Target> targets_;
+  CostModel costs_;
+  std::vector<Scored> scored_;  ///< Of the current choice; kept for its memory.
 };
 
 }  // namespace banyanloft
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -611,3 +611,57 @@
   Forward(TimeMs(35), 2, false);
   STRCMP_EQUAL("i-1", Run(0)->instance.c_str());
 }
+
+// The sender chose this target by a report that is out of date.
+TEST(backend_runner, forward_waitIsLongerThanElsewhere_isRefusedUnrun) {
+  Report(1);
+  auto forward = [&](uint64_t attempt, int64_t max_wait_ms) {
+    ForwardRequest request;
+    request.attempt = attempt;
+    request.service = "s";
+    request.route = "r";
+    request.target = "/x";
+    request.aim_left_ms = 400;
+    request.remaining_ms = 1000;
+    request.max_wait_ms = max_wait_ms;
+    runner_->OnForward(TimeMs(0), "peer:1", request, &actions_);
+  };
+  forward(1, 0);
+  forward(2, 0);
+  LONGS_EQUAL(2, Count<StartRun>());
+  forward(3, 10);
+  CHECK(AnswerOf(3)->error == ErrorKind::kOverloaded);
+  CHECK(AnswerOf(3)->run_state == RunState::kNotRun);
+  CHECK(!AnswerOf(3)->arrived);
+  LONGS_EQUAL(1, runner_->Counts().Get("runs_moved_on_total"));
+  forward(4, -1);
+  CHECK(AnswerOf(4) == nullptr);
+  End(0, RunResult::Type::kAnswered);
+  LONGS_EQUAL(3, Count<StartRun>());
+}
+
+// Peers estimate waits by the work left, and the speed of this target.
+TEST(backend_runner, answer_load_carriesWorkAndSpeed) {
+  Report(1);
+  auto forward = [&](TimeMs now, uint64_t attempt) {
+    ForwardRequest request;
+    request.attempt = attempt;
+    request.service = "s";
+    request.route = "r";
+    request.target = "/x";
+    request.aim_left_ms = 4000;
+    request.remaining_ms = 9000;
+    request.expected_run_ms = 100;
+    runner_->OnForward(now, "peer:1", request, &actions_);
+  };
+  forward(TimeMs(0), 1);
+  End(0, RunResult::Type::kAnswered, TimeMs(200));
+  LONGS_EQUAL(2000, AnswerOf(1)->load.slowness_permille);
+  for (uint64_t attempt = 2; attempt <= 5; ++attempt)
+    forward(TimeMs(200), attempt);
+  End(1, RunResult::Type::kAnswered, TimeMs(300));
+  const TargetLoad& load = AnswerOf(2)->load;
+  // The ended run does not count. 100 ms of the other one have passed.
+  LONGS_EQUAL(100, load.running_work_ms);
+  LONGS_EQUAL(400, load.queued_work_ms[0]);
+}
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -298,3 +298,35 @@
   Request(TimeMs(0), "/none/1");
   CHECK(Answered()->error == ErrorKind::kUnknownRoute);
 }
+
+// A target may let an attempt move on because of its wait. That is no refusal
+// for lack of capacity: the request gets as many attempts as before.
+TEST(forwarder, targetLetsAttemptMoveOn_isSentAgainOnceWithoutLimit) {
+  directory_.candidates = {{11, true, false}, {12, true, false}};
+  Request(TimeMs(0), "/once/1");
+  CHECK(Sent(0)->request.max_wait_ms >= 0);
+  ForwardAnswer moves = RefusalTo(0, ErrorKind::kOverloaded);
+  moves.load.slots = 1;
+  moves.load.ahead.fill(50);
+  moves.load.mean_run_ms = 100;
+  forwarder_->OnAnswer(TimeMs(1), moves, &actions_);
+  CHECK(Sent(1)->target != Sent(0)->target);
+  CHECK(Sent(1)->request.max_wait_ms < 0);
+  LONGS_EQUAL(1, forwarder_->Counts().Get("forward_moved_total"));
+  LONGS_EQUAL(0,
+              forwarder_->Counts().Get("forward_refused_total", "overloaded"));
+  forwarder_->OnAnswer(TimeMs(50), AnswerTo(1), &actions_);
+  CHECK(!Answered()->error);
+}
+
+// A large body is not sent twice to save a wait.
+TEST(forwarder, largeBody_attemptDoesNotMoveOn) {
+  directory_.candidates = {{11, true, false}, {12, true, false}};
+  MeshRequest request;
+  request.method = "POST";
+  request.host = "a.example";
+  request.target = "/once/1";
+  request.body.assign(100000, 'x');
+  forwarder_->OnRequest(TimeMs(0), 1, request, &actions_);
+  CHECK(Sent(0)->request.max_wait_ms < 0);
+}
--- a/tests/link_test.cc
+++ b/tests/link_test.cc
@@ -148,6 +148,49 @@
   CHECK(holds);
 }
 
+// Daemons of the earlier version reject messages with fields that they don't
+// know: nothing of a fleet that is being upgraded would arrive.
+TEST(link, forwarding_peerWithoutFeatures_getsTheEarlierFields) {
+  ForwardAnswer answer;
+  answer.attempt = 7;
+  answer.load.slots = 4;
+  answer.load.running_work_ms = 250;
+  answer.load.queued_work_ms = {1, 2, 3, 4};
+  answer.load.slowness_permille = 1500;
+  Result<PeerMessage> full = DecodePeerMessage(EncodePeerMessage(answer));
+  const ForwardAnswer& got = std::get<ForwardAnswer>(*ValueOf(full));
+  LONGS_EQUAL(250, got.load.running_work_ms);
+  CHECK(got.load.queued_work_ms == answer.load.queued_work_ms);
+  LONGS_EQUAL(1500, got.load.slowness_permille);
+  Result<PeerMessage> plain = DecodePeerMessage(EncodePeerMessage(answer, 0));
+  const ForwardAnswer& earlier = std::get<ForwardAnswer>(*ValueOf(plain));
+  LONGS_EQUAL(4, earlier.load.slots);
+  CHECK(earlier.load.running_work_ms < 0);
+  CHECK(earlier.load.slowness_permille < 0);
+  constexpr size_t kAnswerFields = 13;
+  constexpr size_t kRequestFields = 13;
+  LONGS_EQUAL(kAnswerFields, FromCbor(EncodePeerMessage(answer, 0))[1].size());
+
+  ForwardRequest request;
+  request.expected_run_ms = 80;
+  request.max_wait_ms = 12;
+  Result<PeerMessage> sent = DecodePeerMessage(EncodePeerMessage(request));
+  LONGS_EQUAL(80, std::get<ForwardRequest>(*ValueOf(sent)).expected_run_ms);
+  LONGS_EQUAL(12, std::get<ForwardRequest>(*ValueOf(sent)).max_wait_ms);
+  LONGS_EQUAL(kRequestFields,
+              FromCbor(EncodePeerMessage(request, 0))[1].size());
+}
+
+TEST(link, handshake_earlierDaemon_announcesNoFeatures) {
+  LONGS_EQUAL(kLinkFeatures,
+              ValueOf(DecodeHello(EncodeHello(LinkHello())))->features);
+  LONGS_EQUAL(
+      kLinkFeatures,
+      ValueOf(DecodeChallenge(EncodeChallenge(LinkChallenge())))->features);
+  std::string hello = ToCbor(Json::array({9, Json::array({3, "a", "b"})}));
+  LONGS_EQUAL(0, ValueOf(DecodeHello(hello))->features);
+}
+
 TEST(link, messages_encodedAndDecoded_areUnchanged) {
   RunAnswer answer;
   answer.attempt = 7;
--- a/tests/mesh_routing_test.cc
+++ b/tests/mesh_routing_test.cc
@@ -34,6 +34,17 @@
   return ValueOf(made) != nullptr ? *ValueOf(made) : nullptr;
 }
 
+/// Load of a target whose 10 slots are busy.
+TargetLoad WorkOf(int running_ms, int queued_ms) {
+  TargetLoad load;
+  load.slots = 10;
+  load.ahead.fill(20);
+  load.mean_run_ms = 100;
+  load.running_work_ms = running_ms;
+  load.queued_work_ms.fill(queued_ms);
+  return load;
+}
+
 TargetLoad LoadOf(int ahead) {
   TargetLoad load;
   load.slots = 10;
@@ -136,7 +147,8 @@
 
 TEST_GROUP(target_selector) {
   TargetSelector selector_{TargetSelectorSettings(), 5};
-  TargetQuery query_{"r", 1, 400};
+  CostKey route_ = CostModel::KeyOf({"r", "GET", "", "", 0});
+  TargetQuery query_{route_, 1, 400};
   std::vector<TargetCandidate> candidates_ = {
       {1, true, false}, {2, false, false}, {3, false, false}};
 
@@ -148,30 +160,30 @@
 };
 
 TEST(target_selector, choose_localZoneMeetsAim_staysInZone) {
-  selector_.OnReport(TimeMs(0), 1, LoadOf(10), "r", 100);
+  selector_.OnReport(TimeMs(0), 1, LoadOf(10), route_, 100);
   LONGS_EQUAL(1, Chosen(TimeMs(10)));
 }
 
 TEST(target_selector, choose_localZoneMissesAim_selectsAnotherZone) {
-  selector_.OnReport(TimeMs(0), 1, LoadOf(80), "r", 100);
-  selector_.OnReport(TimeMs(0), 2, LoadOf(0), "r", 100);
-  selector_.OnReport(TimeMs(0), 3, LoadOf(60), "r", 100);
+  selector_.OnReport(TimeMs(0), 1, LoadOf(80), route_, 100);
+  selector_.OnReport(TimeMs(0), 2, LoadOf(0), route_, 100);
+  selector_.OnReport(TimeMs(0), 3, LoadOf(60), route_, 100);
   LONGS_EQUAL(2, Chosen(TimeMs(10)));
 }
 
 // A service that is overloaded everywhere: another zone answers too late as
 // well, so the bytes between zones would buy nothing.
 TEST(target_selector, choose_noTargetMeetsAim_staysInZone) {
-  selector_.OnReport(TimeMs(0), 1, LoadOf(80), "r", 100);
-  selector_.OnReport(TimeMs(0), 2, LoadOf(60), "r", 100);
-  selector_.OnReport(TimeMs(0), 3, LoadOf(60), "r", 100);
+  selector_.OnReport(TimeMs(0), 1, LoadOf(80), route_, 100);
+  selector_.OnReport(TimeMs(0), 2, LoadOf(60), route_, 100);
+  selector_.OnReport(TimeMs(0), 3, LoadOf(60), route_, 100);
   LONGS_EQUAL(1, Chosen(TimeMs(10)));
 }
 
 TEST(target_selector, choose_noTargetMeetsAimButOneIsMuchEarlier_leavesZone) {
-  selector_.OnReport(TimeMs(0), 1, LoadOf(300), "r", 100);
-  selector_.OnReport(TimeMs(0), 2, LoadOf(60), "r", 100);
-  selector_.OnReport(TimeMs(0), 3, LoadOf(200), "r", 100);
+  selector_.OnReport(TimeMs(0), 1, LoadOf(300), route_, 100);
+  selector_.OnReport(TimeMs(0), 2, LoadOf(60), route_, 100);
+  selector_.OnReport(TimeMs(0), 3, LoadOf(200), route_, 100);
   LONGS_EQUAL(2, Chosen(TimeMs(10)));
 }
 
@@ -192,10 +204,84 @@
 
 TEST(target_selector, choose_targetThatWasSlow_isTriedAgainLater) {
   for (int i = 0; i < 20; ++i) {
-    selector_.OnReport(TimeMs(i), 1, LoadOf(0), "r", 2000);
-    selector_.OnReport(TimeMs(i), 2, LoadOf(0), "r", 100);
+    selector_.OnReport(TimeMs(i), 1, LoadOf(0), route_, 2000);
+    selector_.OnReport(TimeMs(i), 2, LoadOf(0), route_, 100);
   }
   CHECK(Chosen(TimeMs(30)) != 1);
-  selector_.OnReport(TimeMs(9000), 2, LoadOf(0), "r", 100);
+  selector_.OnReport(TimeMs(9000), 2, LoadOf(0), route_, 100);
   LONGS_EQUAL(1, Chosen(TimeMs(9001)));
 }
+
+// Twenty short calls ahead are less than ten long reads.
+TEST(target_selector, choose_equalCounts_leastWorkLeftIsSelected) {
+  candidates_ = {{1, true, false}, {2, true, false}};
+  selector_.OnReport(TimeMs(0), 1, WorkOf(5000, 8000), route_, 100);
+  selector_.OnReport(TimeMs(0), 2, WorkOf(150, 300), route_, 100);
+  for (int i = 0; i < 20; ++i) LONGS_EQUAL(2, Chosen(TimeMs(10)));
+}
+
+// The queue of a less urgent class does not delay a more urgent request.
+TEST(target_selector, choose_workOfLessUrgentClasses_doesNotCount) {
+  candidates_ = {{1, true, false}, {2, true, false}};
+  TargetLoad behind = WorkOf(500, 0);
+  behind.queued_work_ms = {0, 0, 0, 9000};
+  selector_.OnReport(TimeMs(0), 1, behind, route_, 100);
+  selector_.OnReport(TimeMs(0), 2, WorkOf(500, 2000), route_, 100);
+  for (int i = 0; i < 20; ++i) LONGS_EQUAL(1, Chosen(TimeMs(10)));
+}
+
+// One report must not attract all requests until the next one.
+TEST(target_selector, choose_manyAfterOneReport_ownAttemptsCount) {
+  candidates_ = {{1, true, false}, {2, true, false}};
+  TargetLoad idle = WorkOf(0, 0);
+  idle.ahead.fill(0);
+  selector_.OnReport(TimeMs(0), 1, idle, route_, 100);
+  selector_.OnReport(TimeMs(0), 2, WorkOf(500, 1000), route_, 100);
+  int sent_to_second = 0;
+  for (int i = 0; i < 60; ++i) {
+    std::optional<TargetChoice> choice =
+        selector_.Choose(TimeMs(10), candidates_, query_, {});
+    selector_.OnSent(choice->id, choice->cost_ms);
+    sent_to_second += choice->id == 2 ? 1 : 0;
+  }
+  CHECK(sent_to_second >= 15);
+  CHECK(sent_to_second <= 30);
+}
+
+// Many daemons know the same reports: they must not all select the same target.
+TEST(target_selector, choose_nearlyEqualTargets_areSelectedAtRandom) {
+  candidates_ = {{1, true, false}, {2, true, false}, {3, true, false}};
+  selector_.OnReport(TimeMs(0), 1, WorkOf(1000, 2000), route_, 100);
+  selector_.OnReport(TimeMs(0), 2, WorkOf(1010, 2020), route_, 100);
+  selector_.OnReport(TimeMs(0), 3, WorkOf(5000, 9000), route_, 100);
+  std::map<MemberId, int> chosen;
+  for (int i = 0; i < 300; ++i) ++chosen[Chosen(TimeMs(10))];
+  CHECK(chosen[1] > 100 && chosen[2] > 100);
+  LONGS_EQUAL(0, chosen[3]);
+}
+
+TEST(target_selector, choose_targetReportsThatItIsSlow_fasterOneIsSelected) {
+  candidates_ = {{1, true, false}, {2, true, false}};
+  TargetLoad load = LoadOf(0);
+  for (int i = 0; i < 10; ++i) {
+    load.slowness_permille = 1600;
+    selector_.OnReport(TimeMs(i), 1, load, route_, 160);
+    load.slowness_permille = 600;
+    selector_.OnReport(TimeMs(i), 2, load, route_, 60);
+  }
+  for (int i = 0; i < 20; ++i) LONGS_EQUAL(2, Chosen(TimeMs(20)));
+}
+
+// The wait up to which an attempt stays is where another target is expected to
+// finish earlier.
+TEST(target_selector, choose_maxWait_isThatOfTheNextTarget) {
+  candidates_ = {{1, true, false}, {2, true, false}};
+  selector_.OnReport(TimeMs(0), 1, WorkOf(1000, 0), route_, 100);
+  selector_.OnReport(TimeMs(0), 2, WorkOf(1000, 4000), route_, 100);
+  std::optional<TargetChoice> choice =
+      selector_.Choose(TimeMs(10), candidates_, query_, {});
+  LONGS_EQUAL(1, choice->id);
+  CHECK(choice->max_wait_ms >= 400 && choice->max_wait_ms <= 430);
+  CHECK(selector_.Choose(TimeMs(10), candidates_, query_, {2})->max_wait_ms <
+        0);
+}
