Tests of clients that are not controlled, with daemons as processes

Each test starts two daemons and a group of clients on loopback. The numbers of clients and the bounds are fixed here: the memory limit of the instance (160 MB, 260 MB for one body of 64 MiB), the clients' descriptors plus 200, and an ordinary request that is answered. They run serially.

--- a/soak/daemon_process.h
+++ b/soak/daemon_process.h
@@ -27,6 +27,7 @@
   /// the signal that terminated it.
   std::optional<int> Reap();
   bool Running() const { return pid_ > 0; }
+  pid_t Pid() const { return pid_; }  ///< -1 if it is not running.
 
  private:
   pid_t pid_ = -1;
--- a/standins/mesh_backend.cc
+++ b/standins/mesh_backend.cc
@@ -25,6 +25,7 @@
 HttpServerSettings ServerSettings(const MeshBackendSettings& settings) {
   HttpServerSettings server;
   server.listen = settings.listen;
+  server.max_body_bytes = settings.max_body_bytes;
   return server;
 }
 
@@ -126,7 +127,8 @@
   answer.headers.emplace_back(wire::header::kInstance, settings_.id);
   answer.headers.emplace_back(wire::header::kRequestId, request_id);
   answer.headers.emplace_back(wire::header::kSignature, "s-" + request_id);
-  answer.body = ExpectedResponseBody(request_id, request.target, request.body);
+  answer.body = ExpectedResponseBody(request_id, request.target,
+                                     settings_.echoes_body ? request.body : "");
   if (answer.body.size() < settings_.response_bytes)
     answer.body.resize(settings_.response_bytes, '.');
   // Without request id and signature the response counts as lost.
--- a/standins/mesh_backend.h
+++ b/standins/mesh_backend.h
@@ -39,6 +39,8 @@
   int64_t run_ms = 20;                     ///< Mean run time, in ms.
   int64_t invalid_response_permille = 20;  ///< Responses without id, in 1/1000.
   size_t response_bytes = 0;  ///< Least length of a response body, in bytes.
+  size_t max_body_bytes = 1024 * 1024;  ///< Largest request body, in bytes.
+  bool echoes_body = true;  ///< Responses contain the body of the request.
   /// Says in every response that it leaves; otherwise only health checks fail.
   bool names_leaving = true;
 };
--- a/tests/client_connection.h
+++ b/tests/client_connection.h
@@ -19,14 +19,14 @@
 /// A client connection with blocking calls.
 class ClientConnection {
  public:
-  static constexpr int64_t kTimeoutMs = 4000;  ///< Of a read.
+  static constexpr int64_t kTimeoutMs = 4000;  ///< Of a read, by default.
 
   ClientConnection() = default;
   ClientConnection(const ClientConnection&) = delete;
   ClientConnection& operator=(const ClientConnection&) = delete;
   ~ClientConnection() { Close(); }
 
-  bool Open(uint16_t port, bool small_buffer) {
+  bool Open(uint16_t port, bool small_buffer, int64_t timeout_ms = kTimeoutMs) {
     Close();
     socket_ = socket(AF_INET, SOCK_STREAM, 0);
     if (small_buffer) {
@@ -39,7 +39,7 @@
     }
     int on = 1;
     setsockopt(socket_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    timeval timeout{kTimeoutMs / 1000, 0};
+    timeval timeout{timeout_ms / 1000, 0};
     setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
     sockaddr_in address{};
     address.sin_family = AF_INET;
--- a/tests/process_fleet.cc
+++ b/tests/process_fleet.cc
@@ -59,17 +59,24 @@
       "internal_ports = [{2},{3}]\nheartbeat_interval_s = 0.5\n"
       "bounds = [{4}]\napp_addr = \"{5}\"\nservice = \"{6}\"\n[listen]\n"
       "outbound = \"{7}\"\nready = \"{8}\"\ncontrol = \"{9}\"\n"
-      "[platform]\naddress = \"127.0.0.1:{10}\"\n",
+      "[platform]\naddress = \"127.0.0.1:{10}\"\n[limits]\n{11}\n",
       instance, instance / settings_.instances_per_zone, PortOf(instance, 5),
       PortOf(instance, 6), settings_.bounds, AddressOf(instance, 4).Text(),
       ServiceOf(instance), AddressOf(instance, 1).Text(),
       AddressOf(instance, 2).Text(), AddressOf(instance, 3).Text(),
-      settings_.first_port);
+      settings_.first_port, settings_.limits);
 }
 
 bool ProcessFleet::Start() {
   if (dir_.empty() || ErrorOf(store_.Start()) != nullptr) return false;
-  store_.Put("config", "main", MeshConfiguration(1, {}));
+  Json configuration = MeshConfiguration(1, {});
+  if (settings_.max_body_bytes > 0)
+    configuration["limits"]["max_body_bytes"] = settings_.max_body_bytes;
+  if (settings_.timeout_s > 0) {
+    for (Json& route : configuration["listeners"][0]["rule_set"])
+      route["action"]["timeout_s"] = settings_.timeout_s;
+  }
+  store_.Put("config", "main", configuration);
   if (settings_.store_down) store_.SetFault(StoreFault::kUnavailable);
   backends_.resize(static_cast<size_t>(settings_.instances));
   for (int i = 0; i < settings_.instances; ++i) {
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -20,7 +20,10 @@
   int instances = 4;           ///< Their services take turns.
   int instances_per_zone = 2;
   std::string bounds = "\"grace_s=6\"";  ///< In the daemons' settings.
-  bool store_down = false;               ///< From the start on.
+  std::string limits;         ///< Lines of `[limits]` in the settings.
+  bool store_down = false;    ///< From the start on.
+  size_t max_body_bytes = 0;  ///< In the configuration; 0: its usual value.
+  double timeout_s = 0;       ///< Of all routes; 0: the usual value.
   /// Template; id, service and addresses are filled in.
   MeshBackendSettings backend;
 };
--- /dev/null
+++ b/tests/uncontrolled_clients_test.cc
@@ -0,0 +1,321 @@
+// Clients that send endless, oversized or incomplete requests to daemons that
+// run as processes on loopback. The daemons must stay within the memory of
+// their instance and go on serving ordinary requests.
+
+#include <CppUTest/TestHarness.h>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <poll.h>
+
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "platform/wire_names.h"
+#include "standins/mesh_configuration.h"
+#include "tests/client_connection.h"
+#include "tests/process_fleet.h"
+
+using namespace banyanloft;
+
+namespace {
+
+namespace wire = banyanloft::platform;
+
+constexpr int64_t kStartupMs = 4500;
+constexpr size_t kMaxBodyBytes = 1000000;  ///< In the configuration.
+/// Descriptors beside those of the clients: links, the store, the backend
+/// server.
+constexpr size_t kOwnDescriptors = 200;
+constexpr int64_t kAnswerWithinMs = 20000;
+constexpr int64_t kClientTimeoutMs = 15000;
+
+TimeMs Now() { return SteadyClock().Now(); }
+
+void SleepMs(int64_t ms) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+
+/// Accepts every request of the backend servers.
+class IgnoringObserver final : public BackendObserver {
+  void OnRequestStarted(const MeshBackend&, const std::string&,
+                        const HttpRequest&) override {}
+};
+
+/// Many connections that send all the same bytes at the same time, from one
+/// thread, and stay open.
+class ClientGroup {
+ public:
+  /// `part(i)` is the i-th part that each client sends; empty: the last one has
+  /// been sent.
+  using Parts = std::function<std::string(size_t client, size_t number)>;
+
+  ClientGroup(uint16_t port, size_t count, Parts parts)
+      : parts_(std::move(parts)) {
+    clients_.resize(count);
+    for (Client& client : clients_) Open(&client, port);
+  }
+  ~ClientGroup() {
+    for (Client& client : clients_) Close(&client);
+  }
+  ClientGroup(const ClientGroup&) = delete;
+  ClientGroup& operator=(const ClientGroup&) = delete;
+
+  /// Sends until every client has sent everything or has been closed, for a
+  /// limited time; then holds the open connections until the time is over.
+  void Run(int64_t ms) {
+    TimeMs end = Now() + ms;
+    while (Now() < end) {
+      std::vector<pollfd> polled;
+      std::vector<Client*> owners;
+      for (Client& client : clients_) {
+        if (client.socket < 0) continue;
+        short events =
+            static_cast<short>(client.done ? POLLIN : POLLIN | POLLOUT);
+        polled.push_back({client.socket, events, 0});
+        owners.push_back(&client);
+      }
+      if (polled.empty()) return;
+      constexpr int kPollMs = 20;
+      poll(polled.data(), polled.size(), kPollMs);
+      for (size_t i = 0; i < polled.size(); ++i) {
+        if ((polled[i].revents & POLLIN) != 0) Drain(owners[i]);
+        if ((polled[i].revents & POLLOUT) != 0 && owners[i]->socket >= 0)
+          Send(owners[i]);
+        if ((polled[i].revents & (POLLERR | POLLHUP)) != 0) Close(owners[i]);
+      }
+    }
+  }
+  size_t SentBytes() const { return sent_bytes_; }
+
+ private:
+  struct Client {
+    int socket = -1;
+    size_t number = 0;    ///< Of the next part.
+    std::string pending;  ///< Rest of the part that is being sent.
+    bool done = false;
+  };
+
+  static void Open(Client* client, uint16_t port) {
+    client->socket = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    if (connect(client->socket, reinterpret_cast<sockaddr*>(&address),
+                sizeof(address)) != 0)
+      return Close(client);
+    fcntl(client->socket, F_SETFL, O_NONBLOCK);
+  }
+  static void Close(Client* client) {
+    if (client->socket >= 0) close(client->socket);
+    client->socket = -1;
+  }
+  static void Drain(Client* client) {
+    char buffer[16 * 1024];
+    if (recv(client->socket, buffer, sizeof(buffer), 0) == 0) Close(client);
+  }
+  void Send(Client* client) {
+    if (client->pending.empty()) {
+      size_t index = static_cast<size_t>(client - clients_.data());
+      client->pending = parts_(index, client->number++);
+      client->done = client->pending.empty();
+      if (client->done) return;
+    }
+    ssize_t sent = send(client->socket, client->pending.data(),
+                        client->pending.size(), MSG_NOSIGNAL);
+    if (sent < 0) return;
+    sent_bytes_ += static_cast<size_t>(sent);
+    client->pending.erase(0, static_cast<size_t>(sent));
+  }
+
+  Parts parts_;
+  std::vector<Client> clients_;
+  size_t sent_bytes_ = 0;
+};
+
+std::string Head(size_t client, const std::string& framing) {
+  return fmt::format(
+      "POST /register/c{0} HTTP/1.1\r\nHost: {1}\r\n{2}: c-{0}\r\n"
+      "{3}: 20000\r\n{4}\r\n\r\n",
+      client, kMeshHost, wire::header::kRequestId, wire::header::kDeadlineMs,
+      framing);
+}
+
+/// A head, then `total` bytes of the body in parts.
+ClientGroup::Parts BodyOf(size_t announced, size_t total) {
+  return [announced, total](size_t client, size_t number) -> std::string {
+    constexpr size_t kPartBytes = 50000;
+    if (number == 0)
+      return Head(client, fmt::format("Content-Length: {}", announced));
+    size_t sent = (number - 1) * kPartBytes;
+    if (sent >= total) return "";
+    return std::string(std::min(kPartBytes, total - sent), 'x');
+  };
+}
+
+/// A head, then `total` bytes of chunks, without the last one.
+ClientGroup::Parts ChunksOf(size_t total) {
+  return [total](size_t client, size_t number) -> std::string {
+    constexpr size_t kChunkBytes = 10000;
+    if (number == 0) return Head(client, "Transfer-Encoding: chunked");
+    if (number * kChunkBytes > total) return "";
+    return fmt::format("{:x}\r\n{}\r\n", kChunkBytes,
+                       std::string(kChunkBytes, 'x'));
+  };
+}
+
+/// A chunked body of one byte, then `total` bytes of trailers without end.
+ClientGroup::Parts TrailersOf(size_t total) {
+  return [total](size_t client, size_t number) -> std::string {
+    constexpr size_t kTrailers = 100;
+    constexpr size_t kTrailerBytes = 500;
+    if (number == 0)
+      return Head(client, "Transfer-Encoding: chunked") + "1\r\nx\r\n0\r\n";
+    if (number * kTrailers * kTrailerBytes > total) return "";
+    std::string trailers;
+    for (size_t i = 0; i < kTrailers; ++i)
+      trailers += fmt::format("T-{}-{}: {}\r\n", number, i,
+                              std::string(kTrailerBytes, 't'));
+    return trailers;
+  };
+}
+
+}  // namespace
+
+TEST_GROUP(uncontrolled_clients) {
+  ProcessFleetSettings settings_;
+  IgnoringObserver observer_;
+  std::unique_ptr<ProcessFleet> fleet_;
+  size_t memory_mb_ = 160;
+
+  void setup() override {
+    settings_.first_port = 41000;
+    settings_.instances = 2;
+    settings_.max_body_bytes = kMaxBodyBytes;
+    settings_.backend.run_ms = 300;
+    settings_.backend.max_body_bytes = 2 * kMaxBodyBytes;
+    settings_.backend.echoes_body = false;
+  }
+
+  void StartFleet() {
+    settings_.limits = fmt::format("memory_mb = {}", memory_mb_);
+    fleet_ = std::make_unique<ProcessFleet>(settings_, &observer_);
+    CHECK(fleet_->Start());
+    SleepMs(kStartupMs);
+  }
+
+  /// The peak of the resident memory of a daemon, in MB; 0 if it has ended.
+  size_t PeakMb(int instance) {
+    if (fleet_->Daemon(instance).Reap()) return 0;
+    std::ifstream status(
+        fmt::format("/proc/{}/status", fleet_->Daemon(instance).Pid()));
+    constexpr char kName[] = "VmHWM:";
+    for (std::string line; std::getline(status, line);) {
+      if (line.rfind(kName, 0) != 0) continue;
+      constexpr size_t kKbPerMb = 1024;
+      return std::strtoul(line.c_str() + sizeof(kName) - 1, nullptr, 10) /
+             kKbPerMb;
+    }
+    return 0;
+  }
+
+  size_t Descriptors(int instance) {
+    std::error_code error;
+    std::filesystem::directory_iterator files(
+        fmt::format("/proc/{}/fd", fleet_->Daemon(instance).Pid()), error);
+    return error ? SIZE_MAX
+                 : static_cast<size_t>(std::distance(begin(files), end(files)));
+  }
+
+  /// Sends a request until it gets a response of the backend server.
+  bool IsAnswered(int instance, const std::string& body) {
+    TimeMs end = Now() + kAnswerWithinMs;
+    for (int number = 0; Now() < end; ++number) {
+      ClientConnection client;
+      int status = 0;
+      bool complete =
+          client.Open(fleet_->Clients(instance).port, false,
+                      kClientTimeoutMs) &&
+          client.Write(fmt::format("POST /register/ordinary HTTP/1.1\r\n"
+                                   "Host: {}\r\n{}: ordinary-{}-{}\r\n"
+                                   "{}: {}\r\nContent-Length: {}\r\n\r\n",
+                                   kMeshHost, wire::header::kRequestId,
+                                   instance, number, wire::header::kDeadlineMs,
+                                   kClientTimeoutMs, body.size()) +
+                       body) &&
+          client.ReadResponse(0, &status);
+      if (complete && status == 200) return true;
+      SleepMs(100);
+    }
+    return false;
+  }
+
+  void CheckMemory() {
+    for (int i = 0; i < settings_.instances; ++i) {
+      size_t peak_mb = PeakMb(i);
+      fmt::print("  daemon {}: peak {} MB of {}\n", i, peak_mb, memory_mb_);
+      CHECK(peak_mb > 0);
+      CHECK(peak_mb <= memory_mb_);
+    }
+  }
+
+  /// Lets clients of the first daemon send for a time. Its service differs from
+  /// that of the requests, so these pass through both daemons.
+  void CheckClients(size_t count, const ClientGroup::Parts& parts, int64_t ms) {
+    StartFleet();
+    {
+      ClientGroup group(fleet_->Clients(0).port, count, parts);
+      group.Run(ms);
+      fmt::print("  {} clients sent {} MB\n", count,
+                 group.SentBytes() / 1000000);
+      for (int i = 0; i < settings_.instances; ++i)
+        CHECK(Descriptors(i) <= count + kOwnDescriptors);
+      // While the clients that have not been closed are still connected.
+      CHECK(IsAnswered(0, "small"));
+    }
+    CHECK(IsAnswered(1, "small"));
+    CheckMemory();
+  }
+};
+
+/// Guards against trailers that are stored without a limit.
+TEST(uncontrolled_clients, endlessTrailers_memoryIsBounded) {
+  CheckClients(40, TrailersOf(12000000), 6000);
+}
+
+/// Guards against bodies of legal size that together exceed the memory.
+TEST(uncontrolled_clients, manyWholeBodies_memoryIsBounded) {
+  CheckClients(250, BodyOf(kMaxBodyBytes, kMaxBodyBytes), 6000);
+}
+
+TEST(uncontrolled_clients, manyChunkedBodiesWithoutLastChunk_memoryIsBounded) {
+  CheckClients(250, ChunksOf(kMaxBodyBytes), 6000);
+}
+
+/// Guards against bodies that never end and keep the memory that they hold.
+TEST(uncontrolled_clients, manyBodiesThatStopShort_memoryIsBounded) {
+  CheckClients(250, BodyOf(kMaxBodyBytes, kMaxBodyBytes - 100), 6000);
+}
+
+TEST(uncontrolled_clients, bodiesFarOverTheLimitAnnounced_memoryIsBounded) {
+  CheckClients(60, BodyOf(9000000, 9000000), 4000);
+}
+
+TEST(uncontrolled_clients, bodiesFarOverTheLimitNotAnnounced_memoryIsBounded) {
+  CheckClients(60, ChunksOf(9000000), 4000);
+}
+
+/// Guards against a limit of the memory that refuses a body within the limits,
+/// and against a body that is copied until it exceeds the memory.
+TEST(uncontrolled_clients, oneBodyOf64MiB_isServedWithinMemory) {
+  settings_.max_body_bytes = 64 * 1024 * 1024;
+  settings_.backend.max_body_bytes = settings_.max_body_bytes;
+  settings_.timeout_s = 10;
+  memory_mb_ = 260;
+  StartFleet();
+  CHECK(IsAnswered(0, std::string(settings_.max_body_bytes, 'x')));
+  CheckMemory();
+}
