--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -53,6 +53,9 @@
     {"crash_suspicions_learned",
      "other daemons suspect requests of crashing backend servers; number, "
      "requests tracked, fingerprints refused from now on"},
+    {"http_body_given_up",
+     "the body of a request was given up while it arrived, because all bodies "
+     "exceed their memory; bytes received, bytes held by all"},
     {"http_request_invalid",
      "a request cannot be written as HTTP and fails unsent; method, detail"},
     {"http_request_refused",
@@ -129,6 +132,27 @@
      "a configuration version was activated; version and source"},
 };
 
+struct LimitRow {
+  const char* name;
+  const char* source;
+  const char* default_value;
+  const char* meaning;
+};
+
+/// Limits of what clients may take (docs/design/client_connections.md).
+constexpr LimitRow kLimits[] = {
+    {"limits.memory_mb", "settings file", "1024",
+     "memory of the instance, in MB; request bodies above 16 KiB take at most "
+     "a "
+     "quarter of it, or what one body of `max_body_bytes` needs, up to 45 %; "
+     "all smaller ones take at most a sixteenth; needs a restart"},
+    {"max_header_bytes", "configuration", "-",
+     "longest header and trailers of a request together, in bytes"},
+    {"max_pipelined_requests", "built in", "8",
+     "requests of one connection that are in progress at a time; more are not "
+     "read until a response has been written"},
+};
+
 }  // namespace
 
 std::string ReferenceText() {
@@ -144,6 +168,12 @@
                        option.required ? "required" : option.default_value,
                        option.help);
   }
+  out +=
+      "\n## Limits of banyanloft_sidecar\n\n| Limit | Source | Default | "
+      "Meaning |\n| --- | --- | --- | --- |\n";
+  for (const LimitRow& row : kLimits)
+    out += fmt::format("| `{}` | {} | {} | {} |\n", row.name, row.source,
+                       row.default_value, row.meaning);
   out += "\n## Headers\n\n| Header | Where | Meaning |\n| --- | --- | --- |\n";
   for (const HeaderRow& row : kHeaders)
     out +=
--- a/banyanloft/http/http_client.cc
+++ b/banyanloft/http/http_client.cc
@@ -148,13 +148,15 @@
  private:
   void Write() {
     if (cancelled_) return Finish(HttpFailure::kNotSent);
-    const HttpRequest& request = job_->request;
+    HttpRequest& request = job_->request;
+    body_ = request.shared_body.empty() ? SharedBytes(std::move(request.body))
+                                        : std::move(request.shared_body);
     if (!PrepareMessage(request)) return Finish(HttpFailure::kInvalidRequest);
     PrepareParser();
     stream_.expires_at(job_->deadline);
     written_ = false;
     skipped_ = 0;
-    bool long_body = request.body.size() > kMaxSequentialBodyBytes;
+    bool long_body = body_.size() > kMaxSequentialBodyBytes;
     bhttp::async_write(stream_, *message_,
                        [self = shared_from_this(), long_body](
                            beast::error_code error, size_t bytes) {
@@ -187,7 +189,7 @@
           message_->insert(name, value);
         }
       }
-      message_->body() = request.body;
+      message_->body() = {body_.Get().data(), body_.size()};
       message_->prepare_payload();
       return true;
     } catch (const std::exception& error) {
@@ -270,6 +272,8 @@
                     !cancelled_ && !desynchronized_ && written_ &&
                     buffer_.size() == 0;
     if (reusable) {
+      message_.reset();
+      body_ = SharedBytes();
       idle_limit_ms_ = IdleLimitMs(message[bhttp::field::keep_alive]);
       idle_since_ = std::chrono::steady_clock::now();
       stream_.expires_never();
@@ -313,7 +317,9 @@
   std::shared_ptr<Impl> client_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
-  std::optional<bhttp::request<bhttp::string_body>> message_;
+  /// Refers to `body_`.
+  std::optional<bhttp::request<bhttp::span_body<const char>>> message_;
+  SharedBytes body_;
   std::optional<bhttp::response_parser<bhttp::string_body>> parser_;
   std::optional<Job> job_;
   SteadyTime idle_since_;
--- a/banyanloft/http/http_message.h
+++ b/banyanloft/http/http_message.h
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "banyanloft/core/shared_bytes.h"
+
 namespace banyanloft {
 
 /// Header fields in order.
@@ -24,6 +26,11 @@
   std::string target = "/";  ///< Path and query.
   HttpHeaders headers;
   std::string body;
+  /// The body of a request to be sent, if not empty; replaces `body`.
+  SharedBytes shared_body;
+  /// Time between the arrival of its last byte and its delivery by HttpServer,
+  /// in ms.
+  int64_t waited_ms = 0;
 };
 
 /// A response as received or to be sent.
--- a/banyanloft/http/http_server.cc
+++ b/banyanloft/http/http_server.cc
@@ -1,16 +1,20 @@
 #include "banyanloft/http/http_server.h"
 
-#include <sys/socket.h>
+#include <poll.h>
 
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <deque>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "banyanloft/core/log.h"
+#include "banyanloft/core/time.h"
 #include "banyanloft/http/request_check.h"
 
 namespace banyanloft {
@@ -21,19 +25,66 @@
 namespace bhttp = boost::beast::http;
 using Tcp = asio::ip::tcp;
 
+/// Body of a request. Memory is reserved as bytes arrive: an announced length
+/// alone must not take any.
+struct ReceivedBody {
+  using value_type = std::string;
+
+  static uint64_t size(const value_type& body) { return body.size(); }
+
+  class reader {
+   public:
+    template <bool isRequest, class Fields>
+    reader(bhttp::header<isRequest, Fields>&, value_type& body) : body_(body) {}
+
+    void init(const boost::optional<uint64_t>& length,
+              beast::error_code& error) {
+      if (length) announced_ = static_cast<size_t>(*length);
+      error = {};
+    }
+    template <class Buffers>
+    size_t put(const Buffers& buffers, beast::error_code& error) {
+      error = {};
+      size_t bytes = asio::buffer_size(buffers);
+      size_t needed = body_.size() + bytes;
+      if (needed > body_.capacity()) {
+        size_t more = std::max(needed, 2 * body_.capacity());
+        body_.reserve(announced_ >= needed ? std::min(more, announced_) : more);
+      }
+      for (auto it = asio::buffer_sequence_begin(buffers);
+           it != asio::buffer_sequence_end(buffers); ++it) {
+        asio::const_buffer buffer = *it;
+        body_.append(static_cast<const char*>(buffer.data()), buffer.size());
+      }
+      return bytes;
+    }
+    void finish(beast::error_code& error) { error = {}; }
+
+   private:
+    value_type& body_;
+    size_t announced_ = 0;
+  };
+};
+
 }  // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
  public:
   Impl(asio::io_context& io, const HttpServerSettings& settings,
        HttpHandler* handler)
-      : io_(io), settings_(settings), handler_(handler), acceptor_(io) {}
+      : io_(io),
+        settings_(settings),
+        handler_(handler),
+        acceptor_(io),
+        bodies_(settings.bodies) {}
 
   Result<Endpoint> Start();
   void Reply(uint64_t id, HttpResponse response);
   void StopAccepting();
   void DisableKeepAlive() { keep_alive_disabled_ = true; }
   size_t UnfinishedResponses() const { return unfinished_responses_; }
+  size_t HeldBodyBytes() const { return bodies_.HeldBytes(); }
+  const Counters& Counts() const { return counters_; }
   void SetLimits(const HttpServerSettings& settings);
   void Close();
 
@@ -41,280 +92,513 @@
   class Session;
 
   void Accept();
+  void LimitBodies(TimeMs now);
 
   asio::io_context& io_;
   HttpServerSettings settings_;
   HttpHandler* handler_;
   Tcp::acceptor acceptor_;
+  SteadyClock clock_;
   uint64_t next_request_ = 1;
+  uint64_t next_session_ = 1;
   size_t unfinished_responses_ = 0;
   bool stopping_ = false;
-  bool keep_alive_disabled_ =
-      false;  ///< Connections close after their next response.
+  /// Connections close after the responses to the requests read so far.
+  bool keep_alive_disabled_ = false;
+  BodyBudget bodies_;
+  Counters counters_;
+  std::string scratch_;  ///< Input of the connection that is being read.
   std::unordered_map<uint64_t, std::shared_ptr<Session>> waiting_;
-  std::unordered_map<Session*, std::weak_ptr<Session>> sessions_;
+  std::unordered_map<uint64_t, std::weak_ptr<Session>> sessions_;
 };
 
-/// One connection: reads a request, waits for its response, writes it, repeats.
+/// One connection: reads requests, delivers them, and writes their responses in
+/// the order of the requests.
 class HttpServer::Impl::Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(std::shared_ptr<Impl> server, Tcp::socket socket)
+  Session(std::shared_ptr<Impl> server, uint64_t id, Tcp::socket socket)
       : server_(std::move(server)),
-        stream_(std::move(socket)),
-        timer_(server_->io_) {}
+        id_(id),
+        socket_(std::move(socket)),
+        read_timer_(server_->io_),
+        write_timer_(server_->io_),
+        watch_timer_(server_->io_) {}
   ~Session() {
-    SetUnfinished(false);
-    server_->sessions_.erase(this);
-  }
-
-  void Read() {
-    parser_.emplace();
-    parser_->header_limit(
-        static_cast<uint32_t>(server_->settings_.max_header_bytes));
-    parser_->body_limit(server_->settings_.max_body_bytes);
-
-    // The idle timeout applies until the first byte arrives, the shorter read
-    // timeout to the rest of the request.
-    if (buffer_.size() > 0) return ReadRequest();
-    stream_.expires_after(
-        std::chrono::milliseconds(server_->settings_.idle_timeout_ms));
-    stream_.async_read_some(
-        buffer_.prepare(kFirstReadBytes),
-        [self = shared_from_this()](beast::error_code error, size_t bytes) {
-          if (error) return;
-          self->buffer_.commit(bytes);
-          self->ReadRequest();
-        });
+    DiscardInput();
+    for (const Request& request : requests_)
+      server_->bodies_.Release(request.body_bytes);
+    requests_.clear();
+    CountUnfinished();
+    server_->sessions_.erase(id_);
   }
 
   void Start() {
+    beast::error_code ignored;
+    socket_.non_blocking(true, ignored);
     if (server_->settings_.first_read_delay_ms == 0) return Read();
-    timer_.expires_after(
-        std::chrono::milliseconds(server_->settings_.first_read_delay_ms));
-    timer_.async_wait([self = shared_from_this()](beast::error_code error) {
-      if (!error) self->Read();
-    });
+    SetReadTimer(server_->settings_.first_read_delay_ms, &Session::Read);
   }
 
-  void Reply(HttpResponse response, bool keep_alive) {
-    if (finished_) return;
-    SetUnfinished(true);
-    request_id_ = 0;
-    timer_.cancel();
-    beast::error_code ignored;
-    stream_.socket().cancel(ignored);
-    if (!PrepareResponse(std::move(response), keep_alive)) return Close();
-    stream_.expires_after(
-        std::chrono::milliseconds(server_->settings_.write_timeout_ms));
-    bhttp::async_write(
-        stream_, *response_,
-        [self = shared_from_this()](beast::error_code error, size_t) {
-          self->OnWritten(error);
-        });
+  void Reply(uint64_t id, HttpResponse response) {
+    for (Request& request : requests_) {
+      if (request.id != id) continue;
+      request.answered = true;
+      request.response = std::move(response);
+      server_->bodies_.Release(request.body_bytes);
+      request.body_bytes = 0;
+      CountUnfinished();
+      return Write();
+    }
+  }
+
+  /// Gives up the body that is being received, for lack of memory.
+  void GiveUpBody() {
+    if (!parser_) return;
+    server_->counters_.Add("http_bodies_given_up_total");
+    Log(LogLevel::kWarning, "http_body_given_up",
+        {{"received", std::to_string(parser_->get().body().size())},
+         {"held", std::to_string(server_->bodies_.HeldBytes())}});
+    Refuse(ErrorKind::kQueueFull);
   }
 
-  void Close() {
-    SetUnfinished(false);
+  /// Closes the connection. The requests in progress are abandoned; `notify`:
+  /// the handler is told so.
+  void Close(bool notify) {
+    if (closed_) return;
+    closed_ = true;
+    DiscardInput();
     beast::error_code ignored;
-    stream_.socket().close(ignored);
-    timer_.cancel();
+    socket_.close(ignored);
+    read_timer_.cancel();
+    write_timer_.cancel();
+    watch_timer_.cancel();
+    Abandon(0, notify);
   }
 
  private:
-  static constexpr size_t kFirstReadBytes = 4096;
+  /// Unparsed bytes of further requests that are read while none may begin, and
+  /// capacity that an idle connection keeps.
+  static constexpr size_t kMaxReadAheadBytes = 4096;
+  static constexpr size_t kReadBytes = 64 * 1024;
+  /// Arrival times kept for unparsed bytes.
+  static constexpr size_t kMaxArrivals = 16;
   static constexpr int64_t kDisconnectPollMs = 100;
   static constexpr int64_t kLingerMs = 1000;
 
-  void SetUnfinished(bool unfinished) {
-    if (unfinished == unfinished_) return;
+  /// A request whose response has not been written yet.
+  struct Request {
+    uint64_t id = 0;  ///< 0: not delivered.
+    HttpRequest message;
+    TimeMs arrived;  ///< Time of its last byte.
+    bool safe = false;
+    bool keep_alive = false;
+    size_t body_bytes = 0;  ///< Counted as in progress.
+    bool answered = false;
+    HttpResponse response;
+  };
+
+  TimeMs Now() const { return server_->clock_.Now(); }
+
+  /// Counts the requests that UnfinishedResponses() reports: all but those that
+  /// the handler works on.
+  void CountUnfinished() {
+    size_t unfinished = 0;
+    for (const Request& request : requests_)
+      unfinished += request.id == 0 || request.answered ? 1 : 0;
+    server_->unfinished_responses_ += unfinished - unfinished_;
     unfinished_ = unfinished;
-    unfinished ? ++server_->unfinished_responses_
-               : --server_->unfinished_responses_;
   }
 
-  /// False if the response cannot be written as HTTP: Beast then throws.
-  bool PrepareResponse(HttpResponse response, bool keep_alive) {
-    int status = response.status;
-    try {
-      response_.emplace();
-      response_->version(11);
-      response_->result(static_cast<unsigned>(status));
-      if (!response.content_type.empty())
-        response_->set(bhttp::field::content_type, response.content_type);
-      for (const auto& [name, value] : response.headers)
-        response_->insert(name, value);
-      response_->keep_alive(keep_alive && keep_alive_ && !server_->stopping_ &&
-                            !server_->keep_alive_disabled_);
-      response_->body() = std::move(response.body);
-      response_->prepare_payload();
-      return true;
-    } catch (const std::exception& error) {
-      Log(LogLevel::kError, "http_response_invalid",
-          {{"status", std::to_string(status)}, {"detail", error.what()}});
-      return false;
-    }
+  void SetReadTimer(int64_t timeout_ms, void (Session::*on_timeout)()) {
+    read_timer_.expires_after(std::chrono::milliseconds(timeout_ms));
+    uint64_t timeout = ++read_timeout_;
+    read_timer_.async_wait([self = shared_from_this(), timeout,
+                            on_timeout](beast::error_code error) {
+      bool current = timeout == self->read_timeout_ && !self->closed_;
+      if (!error && current) (self.get()->*on_timeout)();
+    });
   }
+  void CancelReadTimer() {
+    ++read_timeout_;
+    read_timer_.cancel();
+  }
+  void OnIdleTimeout() { Close(true); }
+  void OnRequestTimeout() { Refuse(ErrorKind::kSlowRequest); }
 
-  void ReadRequest() {
-    stream_.expires_never();
-    reading_ = true;
-    SetReadTimeout(std::min(server_->settings_.header_timeout_ms,
-                            server_->settings_.read_timeout_ms));
+  /// Waits for input, unless enough of further requests has been read.
+  void Read() {
+    if (closed_ || input_ended_) return;
+    bool idle = requests_.empty() && !parser_ && buffer_.size() == 0;
+    if (idle && !closing_ && !idle_timer_set_) {
+      idle_timer_set_ = true;
+      SetReadTimer(server_->settings_.idle_timeout_ms, &Session::OnIdleTimeout);
+    }
+    if (read_pending_) return;
+    bool full = !closing_ && !parser_ && buffer_.size() >= kMaxReadAheadBytes;
+    if (full) return WatchClient();
     read_pending_ = true;
-    bhttp::async_read_header(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](beast::error_code error, size_t) {
-          self->read_pending_ = false;
-          bool complete = self->parser_->is_done();
-          if (error || complete || !self->reading_) return self->OnRead(error);
-          self->ReadBody();
-        });
+    socket_.async_wait(Tcp::socket::wait_read,
+                       [self = shared_from_this()](beast::error_code error) {
+                         self->read_pending_ = false;
+                         if (!error && !self->closed_) self->OnReadable();
+                       });
   }
 
-  void ReadBody() {
-    SetReadTimeout(server_->settings_.read_timeout_ms);
-    read_pending_ = true;
-    bhttp::async_read(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](beast::error_code error, size_t) {
-          self->read_pending_ = false;
-          self->OnRead(error);
-        });
+  void OnReadable() {
+    std::string& scratch = server_->scratch_;
+    scratch.resize(kReadBytes);
+    // What does not belong to a body may stay unparsed for long.
+    size_t room = kMaxReadAheadBytes;
+    if (closing_ || (parser_ && header_read_)) room = kReadBytes;
+    if (!closing_ && !parser_) room -= buffer_.size();
+    beast::error_code error;
+    size_t bytes = socket_.read_some(asio::buffer(scratch.data(), room), error);
+    if (error == asio::error::would_block) return Read();
+    if (error) return OnClientDisconnected();
+    if (closing_) return Read();
+    if (idle_timer_set_) CancelReadTimer();
+    idle_timer_set_ = false;
+    asio::buffer_copy(buffer_.prepare(bytes), asio::buffer(scratch, bytes));
+    buffer_.commit(bytes);
+    read_bytes_ += bytes;
+    if (arrivals_.size() < kMaxArrivals)
+      arrivals_.push_back({read_bytes_, Now()});
+    else
+      arrivals_.back().end = read_bytes_;
+    ProcessInput();
   }
 
-  void SetReadTimeout(int64_t timeout_ms) {
-    timer_.expires_after(std::chrono::milliseconds(timeout_ms));
-    timer_.async_wait([self = shared_from_this()](beast::error_code error) {
-      if (!error && self->reading_) self->Refuse(ErrorKind::kSlowRequest);
-    });
+  /// Parses what has been read and delivers the requests that are complete.
+  void ProcessInput() {
+    if (processing_) return;
+    processing_ = true;
+    while (!closed_ && ParseRequest()) {
+    }
+    processing_ = false;
+    if (closed_) return;
+    while (!arrivals_.empty() && arrivals_.front().end <= parsed_bytes_)
+      arrivals_.pop_front();
+    if (buffer_.size() == 0 && buffer_.capacity() > kMaxReadAheadBytes)
+      buffer_.shrink_to_fit();
+    Read();
   }
 
-  void OnRead(beast::error_code error) {
-    if (!reading_) return;
-    reading_ = false;
-    timer_.cancel();
-    if (!error) return Deliver();
+  /// Whether a further request may begin beside those in progress.
+  bool MayBegin() const {
+    if (requests_.empty()) return true;
+    bool stopping = server_->stopping_ || server_->keep_alive_disabled_;
+    return !stopping && requests_.back().safe &&
+           requests_.size() < server_->settings_.max_pipelined_requests;
+  }
+
+  /// True if a request was complete and the next may be parsed.
+  bool ParseRequest() {
+    if (closing_ || buffer_.size() == 0) return false;
+    if (!parser_) {
+      if (!MayBegin()) return false;
+      const HttpServerSettings& settings = server_->settings_;
+      parser_.emplace();
+      parser_->header_limit(static_cast<uint32_t>(settings.max_header_bytes));
+      parser_->body_limit(settings.max_body_bytes);
+      parser_->eager(true);
+      header_read_ = false;
+      SetReadTimer(
+          std::min(settings.header_timeout_ms, settings.read_timeout_ms),
+          &Session::OnRequestTimeout);
+    }
+    beast::error_code error;
+    size_t parsed = 0;
+    while (!error && buffer_.size() > 0 && !parser_->is_done()) {
+      parsed = parser_->put(buffer_.cdata(), error);
+      buffer_.consume(parsed);
+      parsed_bytes_ += parsed;
+      if (parsed == 0) break;
+    }
+    if (error && error != bhttp::error::need_more) {
+      RefuseInput(error);
+      return false;
+    }
+    if (!CountBody()) return false;
+    if (parser_->is_done()) return OnRequestRead();
+    // What is left belongs to a header, to trailers or to a line between
+    // chunks. The parser limits only the first.
+    if (buffer_.size() > server_->settings_.max_header_bytes) {
+      Refuse(ErrorKind::kOversizedRequest);
+      return false;
+    }
+    if (parser_->is_header_done() && !header_read_) {
+      header_read_ = true;
+      SetReadTimer(server_->settings_.read_timeout_ms,
+                   &Session::OnRequestTimeout);
+    }
+    return false;
+  }
+
+  /// Counts the memory of the body that is being received. False if it was
+  /// given up.
+  bool CountBody() {
+    size_t bytes = parser_->get().body().size();
+    if (bytes == 0) return true;
+    TimeMs now = Now();
+    server_->bodies_.Receive(now, id_, bytes);
+    server_->LimitBodies(now);
+    return parser_.has_value();
+  }
+
+  void RefuseInput(beast::error_code error) {
     bool oversized = error == bhttp::error::body_limit ||
                      error == bhttp::error::header_limit;
-    if (oversized) return Refuse(ErrorKind::kOversizedRequest);
-    bool disconnected = error == bhttp::error::end_of_stream ||
-                        error == bhttp::error::partial_message;
-    bool malformed =
-        error.category() ==
-        bhttp::make_error_code(bhttp::error::bad_method).category();
-    if (malformed && !disconnected) Refuse(ErrorKind::kMalformedRequest);
+    Refuse(oversized ? ErrorKind::kOversizedRequest
+                     : ErrorKind::kMalformedRequest);
   }
 
-  /// Responds to an invalid request, then closes the connection.
+  /// Answers an invalid request after all earlier ones, then closes the
+  /// connection.
   void Refuse(ErrorKind kind) {
-    reading_ = false;
-    Reply(server_->handler_->OnRefused(kind), false);
+    DiscardInput();
+    closing_ = true;
+    server_->counters_.Add("http_requests_refused_total",
+                           std::string(NameOf(kind)));
+    Request refused;
+    refused.answered = true;
+    refused.response = server_->handler_->OnRefused(kind);
+    requests_.push_back(std::move(refused));
+    CountUnfinished();
+    Write();
+    // The rest of the input is discarded meanwhile.
+    if (!processing_) Read();
   }
 
-  void Deliver() {
-    bhttp::request<bhttp::string_body> message = parser_->release();
-    keep_alive_ = message.keep_alive();
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
+  /// Discards the request that is being read and all input behind it.
+  void DiscardInput() {
+    CancelReadTimer();
+    idle_timer_set_ = false;
+    parser_.reset();
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+    server_->bodies_.Discard(id_);
+  }
+
+  /// True if the next request may be parsed.
+  bool OnRequestRead() {
+    CancelReadTimer();
+    bhttp::request<ReceivedBody> message = parser_->release();
+    Request request;
+    request.keep_alive = message.keep_alive();
+    HttpRequest& out = request.message;
+    out.method = std::string(message.method_string());
+    out.target = std::string(message.target());
+    size_t header_bytes = 0;
     for (const auto& field : message) {
-      request.headers.emplace_back(std::string(field.name_string()),
-                                   std::string(field.value()));
+      header_bytes += field.name_string().size() + field.value().size();
+      out.headers.emplace_back(std::string(field.name_string()),
+                               std::string(field.value()));
     }
-    request.body = std::move(message.body());
-    if (const char* reason = InvalidRequestReason(request)) {
+    out.body = std::move(message.body());
+    if (header_bytes > server_->settings_.max_header_bytes) {
+      // Header and trailers together; the parser limits only the header.
+      Refuse(ErrorKind::kOversizedRequest);
+      return false;
+    }
+    if (const char* reason = InvalidRequestReason(out)) {
       Log(LogLevel::kWarning, "http_request_refused",
-          {{"method", request.method}, {"detail", reason}});
-      return Refuse(ErrorKind::kMalformedRequest);
+          {{"method", out.method}, {"detail", reason}});
+      Refuse(ErrorKind::kMalformedRequest);
+      return false;
+    }
+    parser_.reset();
+    request.body_bytes = server_->bodies_.Complete(id_);
+    request.safe = out.method == "GET" || out.method == "HEAD";
+    while (!arrivals_.empty() && arrivals_.front().end < parsed_bytes_)
+      arrivals_.pop_front();
+    request.arrived = arrivals_.empty() ? Now() : arrivals_.front().time;
+    // Nothing behind a request that closes the connection is read.
+    if (!request.keep_alive) closing_ = true;
+    requests_.push_back(std::move(request));
+    CountUnfinished();
+    Deliver();
+    return !closing_;
+  }
+
+  /// Delivers the requests that may start. One that is not safe starts only
+  /// when it is alone: if it failed halfway, its client could not tell which of
+  /// several have run.
+  void Deliver() {
+    for (size_t i = 0; !closed_ && i < requests_.size(); ++i) {
+      Request& request = requests_[i];
+      if (request.id != 0 || request.answered) continue;
+      if (!request.safe && i > 0) return;
+      // If this process was delayed, the client may have disconnected already.
+      if (ClientDisconnected()) return OnClientDisconnected();
+      request.id = server_->next_request_++;
+      uint64_t id = request.id;
+      HttpRequest message = std::move(request.message);
+      message.waited_ms = Now() - request.arrived;
+      server_->waiting_[id] = shared_from_this();
+      CountUnfinished();
+      server_->handler_->OnRequest(id, std::move(message));
     }
+  }
 
-    stream_.expires_never();
-    // If this process was delayed, the client may have disconnected already.
-    if (ClientDisconnected()) return;
-    request_id_ = server_->next_request_++;
-    server_->waiting_[request_id_] = shared_from_this();
-    WatchClient();
-    server_->handler_->OnRequest(request_id_, std::move(request));
+  /// Whether the client has closed the connection, even if there is unread
+  /// input.
+  bool ClientDisconnected() {
+    pollfd polled{socket_.native_handle(), POLLRDHUP, 0};
+    return poll(&polled, 1, 0) > 0;
   }
 
-  /// Detects a client that disconnects while its response is pending.
+  /// Detects a client that disconnects while its input is not read.
   void WatchClient() {
-    uint64_t watched = request_id_;
-    stream_.socket().async_wait(
-        Tcp::socket::wait_read,
-        [self = shared_from_this(), watched](beast::error_code error) {
-          bool current = watched != 0 && self->request_id_ == watched;
-          if (!error && current) self->PollClient();
+    if (watching_) return;
+    watching_ = true;
+    watch_timer_.expires_after(std::chrono::milliseconds(kDisconnectPollMs));
+    watch_timer_.async_wait(
+        [self = shared_from_this()](beast::error_code error) {
+          self->watching_ = false;
+          if (error || self->closed_) return;
+          if (self->ClientDisconnected()) return self->OnClientDisconnected();
+          self->Read();
         });
   }
 
-  bool ClientDisconnected() {
-    char byte = 0;
-    ssize_t got = recv(stream_.socket().native_handle(), &byte, 1,
-                       MSG_PEEK | MSG_DONTWAIT);
-    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  /// A client that closes its sending side no longer waits for responses, apart
+  /// from those that are ready.
+  void OnClientDisconnected() {
+    if (closed_ || input_ended_) return;
+    input_ended_ = true;
+    DiscardInput();
+    size_t ready = 0;
+    while (ready < requests_.size() && requests_[ready].answered) ++ready;
+    Abandon(ready, true);
+    if (requests_.empty()) Close(true);
   }
 
-  /// The socket may be readable because bytes of a next request have arrived:
-  /// then only polling shows whether the client has disconnected.
-  void PollClient() {
-    if (ClientDisconnected()) return OnClientDisconnected();
-    timer_.expires_after(std::chrono::milliseconds(kDisconnectPollMs));
-    timer_.async_wait([self = shared_from_this()](beast::error_code error) {
-      if (!error && self->request_id_ != 0) self->PollClient();
-    });
+  /// Abandons all requests but the first `kept`.
+  void Abandon(size_t kept, bool notify) {
+    std::vector<uint64_t> abandoned;
+    while (requests_.size() > kept) {
+      Request& last = requests_.back();
+      server_->bodies_.Release(last.body_bytes);
+      if (last.id != 0 && !last.answered) abandoned.push_back(last.id);
+      requests_.pop_back();
+    }
+    CountUnfinished();
+    for (uint64_t id : abandoned) {
+      server_->waiting_.erase(id);
+      if (notify) server_->handler_->OnAbandoned(id);
+    }
   }
 
-  void OnClientDisconnected() {
-    uint64_t id = request_id_;
-    request_id_ = 0;
-    finished_ = true;
-    server_->waiting_.erase(id);
-    server_->handler_->OnAbandoned(id);
+  /// Writes the next response if it is ready.
+  void Write() {
+    if (closed_ || writing_ || requests_.empty() || !requests_.front().answered)
+      return;
+    Request& request = requests_.front();
+    bool stopping = server_->stopping_ || server_->keep_alive_disabled_;
+    // Requests that have been read are answered before the connection closes.
+    bool closes = !request.keep_alive || (stopping && requests_.size() == 1);
+    if (!PrepareResponse(std::move(request.response), !closes))
+      return Close(true);
+    if (response_->need_eof()) {
+      closing_ = true;
+      DiscardInput();
+    }
+    writing_ = true;
+    write_timer_.expires_after(
+        std::chrono::milliseconds(server_->settings_.write_timeout_ms));
+    write_timer_.async_wait(
+        [self = shared_from_this()](beast::error_code error) {
+          bool due =
+              self->write_timer_.expiry() <= std::chrono::steady_clock::now();
+          if (!error && due && self->writing_) self->Close(true);
+        });
+    bhttp::async_write(
+        socket_, *response_,
+        [self = shared_from_this()](beast::error_code error, size_t) {
+          self->OnWritten(error);
+        });
+  }
+
+  /// False if the response cannot be written as HTTP: Beast then throws.
+  bool PrepareResponse(HttpResponse response, bool keep_alive) {
+    int status = response.status;
+    try {
+      response_.emplace();
+      response_->version(11);
+      response_->result(static_cast<unsigned>(status));
+      if (!response.content_type.empty())
+        response_->set(bhttp::field::content_type, response.content_type);
+      for (const auto& [name, value] : response.headers)
+        response_->insert(name, value);
+      response_->keep_alive(keep_alive);
+      response_->body() = std::move(response.body);
+      response_->prepare_payload();
+      return true;
+    } catch (const std::exception& error) {
+      Log(LogLevel::kError, "http_response_invalid",
+          {{"status", std::to_string(status)}, {"detail", error.what()}});
+      return false;
+    }
   }
 
   void OnWritten(beast::error_code error) {
-    SetUnfinished(false);
-    if (error) return;
-    if (!response_->need_eof()) return Read();
-    beast::error_code ignored;
-    stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-    Linger();
-    if (!read_pending_) Discard();
+    writing_ = false;
+    write_timer_.cancel();
+    if (closed_) return;
+    if (error) return Close(true);
+    bool closes = response_->need_eof();
+    response_.reset();
+    requests_.pop_front();
+    CountUnfinished();
+    if (closes) return Linger();
+    if (input_ended_ && requests_.empty()) return Close(true);
+    Write();
+    Deliver();
+    if (!closed_) ProcessInput();
   }
 
-  /// Closes the connection after a short delay.
+  /// Closes the connection after a short delay in which input is read and
+  /// discarded: closing it with unread input would cause a reset, which could
+  /// lose the response.
   void Linger() {
-    timer_.expires_after(std::chrono::milliseconds(kLingerMs));
-    timer_.async_wait([self = shared_from_this()](beast::error_code error) {
-      if (!error) self->Close();
-    });
+    Abandon(0, true);
+    if (input_ended_) return Close(true);
+    beast::error_code ignored;
+    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+    SetReadTimer(kLingerMs, &Session::OnIdleTimeout);
+    Read();
   }
 
-  /// Reads and discards input until the connection is closed: closing it with
-  /// unread input would cause a reset, which could lose the response.
-  void Discard() {
-    discard_.resize(kFirstReadBytes);
-    stream_.async_read_some(
-        asio::buffer(discard_),
-        [self = shared_from_this()](beast::error_code error, size_t) {
-          if (!error) self->Discard();
-        });
-  }
+  /// The bytes up to the `end`-th of the connection arrived by `time`.
+  struct Arrival {
+    uint64_t end = 0;
+    TimeMs time;
+  };
 
   std::shared_ptr<Impl> server_;
-  beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
-  std::optional<bhttp::request_parser<bhttp::string_body>> parser_;
+  uint64_t id_;
+  Tcp::socket socket_;
+  beast::flat_buffer buffer_;     ///< Input that has not been parsed.
+  std::deque<Arrival> arrivals_;  ///< Of the bytes in `buffer_`.
+  uint64_t read_bytes_ = 0;
+  uint64_t parsed_bytes_ = 0;
+  std::optional<bhttp::request_parser<ReceivedBody>> parser_;
+  std::deque<Request> requests_;  ///< In the order of their responses.
   std::optional<bhttp::response<bhttp::string_body>> response_;
-  asio::steady_timer timer_;
-  std::string discard_;
-  uint64_t request_id_ = 0;
-  bool reading_ = false;       ///< A request is being read; its timeout runs.
-  bool read_pending_ = false;  ///< Beast is reading; no other read may start.
-  bool keep_alive_ = true;
-  bool finished_ = false;
-  bool unfinished_ = false;  ///< Counted in UnfinishedResponses().
+  asio::steady_timer read_timer_;
+  asio::steady_timer write_timer_;
+  asio::steady_timer watch_timer_;
+  uint64_t read_timeout_ = 0;  ///< Number of the timeout that is set.
+  size_t unfinished_ = 0;      ///< Counted in UnfinishedResponses().
+  bool idle_timer_set_ = false;
+  bool read_pending_ = false;
+  bool watching_ = false;
+  bool header_read_ = false;  ///< Of the request that is being read.
+  bool processing_ = false;
+  bool writing_ = false;
+  bool closing_ = false;      ///< No further request is read.
+  bool input_ended_ = false;  ///< The client has closed its sending side.
+  bool closed_ = false;
 };
 
 Result<Endpoint> HttpServer::Impl::Start() {
@@ -343,8 +627,9 @@
     if (!error && self->sessions_.size() < self->settings_.max_connections) {
       beast::error_code ignored;
       socket.set_option(Tcp::no_delay(true), ignored);
-      auto session = std::make_shared<Session>(self, std::move(socket));
-      self->sessions_[session.get()] = session;
+      uint64_t id = self->next_session_++;
+      auto session = std::make_shared<Session>(self, id, std::move(socket));
+      self->sessions_[id] = session;
       session->Start();
     }
     self->Accept();
@@ -356,7 +641,18 @@
   if (it == waiting_.end()) return;
   std::shared_ptr<Session> session = std::move(it->second);
   waiting_.erase(it);
-  session->Reply(std::move(response), true);
+  session->Reply(id, std::move(response));
+}
+
+/// Gives up incomplete bodies while all bodies exceed their limits.
+void HttpServer::Impl::LimitBodies(TimeMs now) {
+  while (std::optional<uint64_t> excess = bodies_.Excess(now)) {
+    auto it = sessions_.find(*excess);
+    std::shared_ptr<Session> session =
+        it != sessions_.end() ? it->second.lock() : nullptr;
+    if (session) session->GiveUpBody();
+    bodies_.Discard(*excess);
+  }
 }
 
 void HttpServer::Impl::StopAccepting() {
@@ -371,17 +667,18 @@
   next.max_connections = settings_.max_connections;
   next.first_read_delay_ms = settings_.first_read_delay_ms;
   settings_ = next;
+  bodies_.Apply(settings_.bodies);
 }
 
 void HttpServer::Impl::Close() {
   StopAccepting();
   waiting_.clear();
   std::vector<std::shared_ptr<Session>> open;
-  for (auto& [raw, weak] : sessions_) {
+  for (auto& [id, weak] : sessions_) {
     if (std::shared_ptr<Session> session = weak.lock())
       open.push_back(std::move(session));
   }
-  for (const std::shared_ptr<Session>& session : open) session->Close();
+  for (const std::shared_ptr<Session>& session : open) session->Close(false);
 }
 
 HttpServer::HttpServer(asio::io_context& io, const HttpServerSettings& settings,
@@ -399,6 +696,8 @@
 size_t HttpServer::UnfinishedResponses() const {
   return impl_->UnfinishedResponses();
 }
+size_t HttpServer::HeldBodyBytes() const { return impl_->HeldBodyBytes(); }
+const Counters& HttpServer::Counts() const { return impl_->Counts(); }
 void HttpServer::SetLimits(const HttpServerSettings& settings) {
   impl_->SetLimits(settings);
 }
--- a/banyanloft/links/cbor.h
+++ b/banyanloft/links/cbor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,22 @@
 /// A byte string as a CBOR value.
 Json BytesValue(const std::string& bytes);
 
+/// The bytes before a byte string of the given length.
+std::string CborBytesHead(uint64_t size);
+
+/// The type and the argument at the start of an item.
+struct CborItemHead {
+  int major = 0;
+  uint64_t argument = 0;
+  size_t end = 0;  ///< Position behind the head.
+};
+/// Reads the head of the item at a position; empty if it is cut off, or of
+/// indefinite length, which this protocol does not use.
+std::optional<CborItemHead> ReadCborItemHead(std::string_view bytes, size_t at);
+/// Position behind the item at a position; empty if it is malformed, or nests
+/// deeper than the protocol needs.
+std::optional<size_t> SkipCborItem(std::string_view bytes, size_t at);
+
 /// Reads the elements of a CBOR array in order. The first element that is
 /// missing or of another type puts the reader into a permanent error state.
 class CborReader {
--- a/banyanloft/links/frame.cc
+++ b/banyanloft/links/frame.cc
@@ -26,14 +26,29 @@
   return id;
 }
 
+/// Appends `size` bytes of a message from `begin` on.
+void AppendPart(const EncodedMessage& message, size_t begin, size_t size,
+                std::string* out) {
+  for (const std::string* part :
+       {&message.head, &message.body.Get(), &message.tail}) {
+    if (begin < part->size()) {
+      size_t taken = std::min(size, part->size() - begin);
+      out->append(*part, begin, taken);
+      size -= taken;
+      begin = 0;
+    } else {
+      begin -= part->size();
+    }
+  }
+}
+
 }  // namespace
 
-bool FrameScheduler::Push(int rank, uint64_t tag, std::string message) {
+bool FrameScheduler::Push(int rank, uint64_t tag, EncodedMessage message) {
   bool too_long = message.size() > settings_.max_message_bytes;
-  if (message.empty() || too_long ||
-      queued_bytes_ + message.size() > settings_.max_queued_bytes) {
-    return false;
-  }
+  bool full =
+      !Empty() && queued_bytes_ + message.size() > settings_.max_queued_bytes;
+  if (message.size() == 0 || too_long || full) return false;
   size_t index =
       static_cast<size_t>(std::clamp(rank, 0, static_cast<int>(kMaxRanks) - 1));
   queued_bytes_ += message.size();
@@ -53,7 +68,7 @@
         std::min(settings_.chunk_bytes, stream.message.size() - stream.sent);
     bool last = stream.sent + size == stream.message.size();
     std::string frame = HeaderOf(stream.id, last);
-    frame.append(stream.message, stream.sent, size);
+    AppendPart(stream.message, stream.sent, size, &frame);
     stream.sent += size;
     queued_bytes_ -= size;
     if (!last) streams.push_back(std::move(stream));
--- a/banyanloft/links/frame.h
+++ b/banyanloft/links/frame.h
@@ -7,10 +7,12 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "banyanloft/config/model.h"
 #include "banyanloft/core/error.h"
+#include "banyanloft/links/encoded_message.h"
 
 namespace banyanloft {
 
@@ -33,8 +35,12 @@
       : settings_(settings) {}
 
   /// Queues a message; `tag` identifies it to the caller. False if the queue
-  /// is full or the message too long.
-  bool Push(int rank, uint64_t tag, std::string message);
+  /// is full or the message too long. An empty queue takes any message that is
+  /// not too long.
+  bool Push(int rank, uint64_t tag, std::string message) {
+    return Push(rank, tag, EncodedMessage{std::move(message), {}, {}});
+  }
+  bool Push(int rank, uint64_t tag, EncodedMessage message);
   /// The next frame to send; empty if none is queued. If it is the first frame
   /// of its message, `started_tag` is set to the tag of the message.
   std::optional<std::string> Pop(std::optional<uint64_t>* started_tag);
@@ -46,7 +52,7 @@
   struct Stream {
     uint32_t id;
     uint64_t tag;
-    std::string message;
+    EncodedMessage message;
     size_t sent;
   };
   FrameSettings settings_;
--- a/banyanloft/links/link_hub.cc
+++ b/banyanloft/links/link_hub.cc
@@ -244,7 +244,7 @@
                          PeerMessage message) {
   LinkPtr link = stopped_ ? nullptr : FindLink(peer);
   if (link == nullptr) link = Connect(peer);
-  std::string bytes = EncodePeerMessage(message);
+  EncodedMessage bytes = EncodePeerMessageInParts(message);
   uint64_t tag = next_tag_++;
   if (link == nullptr || !link->out.Push(rank_index, tag, std::move(bytes))) {
     counters_.Add("link_refusals_total",
@@ -313,7 +313,7 @@
   }
   std::optional<std::string>& complete = *ValueOf(assembled);
   if (!complete) return;
-  Result<PeerMessage> message = DecodePeerMessage(*complete);
+  Result<PeerMessage> message = DecodePeerMessageInPlace(std::move(*complete));
   if (const Error* error = ErrorOf(message)) {
     counters_.Add("link_refusals_total", error->detail);
     return;
--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -1,11 +1,16 @@
 #include "banyanloft/links/peer_message.h"
 
+#include <optional>
+
 #include "banyanloft/core/digest.h"
 #include "banyanloft/links/cbor.h"
 
 namespace banyanloft {
 namespace {
 
+/// Shorter bodies are copied into the encoded message.
+constexpr size_t kMinSharedBytes = 16 * 1024;
+
 constexpr size_t kMacBytes = 32;
 /// Stands for "no error" in place of an error kind.
 constexpr int kNoError = -1;
@@ -173,10 +178,10 @@
 }
 
 Json Encode(const ForwardRequest& m) {
-  Json fields = Json::array(
-      {m.attempt, m.request_id, m.caller, m.service, m.route, m.idempotent,
-       m.priority, m.aim_left_ms, m.remaining_ms, m.method,
-       BytesValue(m.target), EncodeHeaders(m.headers), BytesValue(m.body)});
+  Json fields = Json::array({m.attempt, m.request_id, m.caller, m.service,
+                             m.route, m.idempotent, m.priority, m.aim_left_ms,
+                             m.remaining_ms, m.method, BytesValue(m.target),
+                             EncodeHeaders(m.headers), BytesValue(m.body)});
   // Left out without an account, so that members without this field understand
   // the message.
   if (!m.account.empty()) fields.push_back(m.account);
@@ -378,12 +383,69 @@
   if (!list.Done()) r->Fail();
 }
 
+/// Where the body of an encoded ForwardRequest is.
+struct BodyRange {
+  size_t item = 0;   ///< Of its byte string, with the head.
+  size_t begin = 0;  ///< Of its bytes.
+  size_t end = 0;
+};
+
+/// Finds a long body without decoding the message; empty if there is none.
+std::optional<BodyRange> FindLongBody(std::string_view bytes) {
+  constexpr int kUnsignedType = 0;
+  constexpr int kBytesType = 2;
+  constexpr int kArrayType = 4;
+  constexpr uint64_t kFieldsBefore = 12;
+  if (bytes.size() < kMinSharedBytes) return std::nullopt;
+  auto outer = ReadCborItemHead(bytes, 0);
+  if (!outer || outer->major != kArrayType) return std::nullopt;
+  auto tag = ReadCborItemHead(bytes, outer->end);
+  bool forward =
+      tag && tag->major == kUnsignedType &&
+      tag->argument == static_cast<uint64_t>(MessageTag::kForwardRequest);
+  if (!forward) return std::nullopt;
+  auto fields = ReadCborItemHead(bytes, tag->end);
+  if (!fields || fields->major != kArrayType ||
+      fields->argument <= kFieldsBefore)
+    return std::nullopt;
+  std::optional<size_t> at = fields->end;
+  for (uint64_t i = 0; at && i < kFieldsBefore; ++i)
+    at = SkipCborItem(bytes, *at);
+  if (!at) return std::nullopt;
+  auto body = ReadCborItemHead(bytes, *at);
+  bool found = body && body->major == kBytesType &&
+               body->argument >= kMinSharedBytes &&
+               body->argument <= bytes.size() - body->end;
+  if (!found) return std::nullopt;
+  return BodyRange{*at, body->end,
+                   body->end + static_cast<size_t>(body->argument)};
+}
+
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message) {
   return ToCbor(std::visit([](const auto& m) { return Encode(m); }, message));
 }
 
+EncodedMessage EncodePeerMessageInParts(const PeerMessage& message) {
+  EncodedMessage parts;
+  const auto* forward = std::get_if<ForwardRequest>(&message);
+  if (forward == nullptr || forward->body.size() < kMinSharedBytes) {
+    parts.head = EncodePeerMessage(message);
+    return parts;
+  }
+  // The body is the last field but the account: encodes the message without it
+  // and puts it in the place of the empty byte string.
+  ForwardRequest bare = *forward;
+  bare.body = SharedBytes();
+  parts.head = ToCbor(Encode(bare));
+  if (!bare.account.empty()) parts.tail = ToCbor(bare.account);
+  parts.body = forward->body;
+  parts.head.resize(parts.head.size() - parts.tail.size() - 1);
+  parts.head += CborBytesHead(forward->body.size());
+  return parts;
+}
+
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
   Json value = FromCbor(bytes);
   int64_t tag = 0;
@@ -397,6 +459,19 @@
   return message;
 }
 
+Result<PeerMessage> DecodePeerMessageInPlace(std::string bytes) {
+  std::optional<BodyRange> body = FindLongBody(bytes);
+  if (!body) return DecodePeerMessage(bytes);
+  std::string bare =
+      bytes.substr(0, body->item) + CborBytesHead(0) + bytes.substr(body->end);
+  Result<PeerMessage> message = DecodePeerMessage(bare);
+  if (ErrorOf(message) != nullptr) return message;
+  bytes.resize(body->end);
+  bytes.erase(0, body->begin);
+  std::get<ForwardRequest>(*ValueOf(message)).body = std::move(bytes);
+  return message;
+}
+
 std::string EncodeDatagram(const Datagram& d, const std::string& secret) {
   Json subject = d.subject.id != 0 ? Encode(d.subject) : Json(nullptr);
   Json fields = Json::array(
--- a/banyanloft/links/peer_message.h
+++ b/banyanloft/links/peer_message.h
@@ -6,6 +6,7 @@
 
 #include "banyanloft/calls/call_types.h"
 #include "banyanloft/distribution/distributor.h"
+#include "banyanloft/links/encoded_message.h"
 #include "banyanloft/membership/member.h"
 #include "banyanloft/mesh/mesh_message.h"
 
@@ -24,8 +25,13 @@
 
 /// Encodes a link message as CBOR.
 std::string EncodePeerMessage(const PeerMessage& message);
+/// Encodes a message in parts, so that a long body need not be copied.
+EncodedMessage EncodePeerMessageInParts(const PeerMessage& message);
 /// Decodes a link message; kProtocolError if it is invalid.
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes);
+/// The same, but a long body of a ForwardRequest takes over the memory of
+/// `bytes`.
+Result<PeerMessage> DecodePeerMessageInPlace(std::string bytes);
 
 /// Encodes a datagram as CBOR, preceded by its HMAC under the fleet's secret.
 std::string EncodeDatagram(const Datagram& datagram, const std::string& secret);
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -127,9 +127,21 @@
   bool crashes =
       crash_guard_.Check(now, work.fingerprint) == CrashGuard::Verdict::kRefuse;
   if (crashes) return ErrorKind::kCrashSuspect;
+  if (ExceedsMemory(work.request)) return ErrorKind::kOverloaded;
   return std::nullopt;
 }
 
+/// Whether the bodies of all requests, of which `request` is one, exceed the
+/// limit.
+bool BackendRunner::ExceedsMemory(const ForwardRequest& request) const {
+  // Requests without a long body are not worth the sum.
+  constexpr size_t kMinBytes = 16 * 1024;
+  if (request.body.size() < kMinBytes) return false;
+  size_t bytes = 0;
+  for (const auto& [id, work] : works_) bytes += work.request.body.size();
+  return bytes > request.body.size() && bytes > settings_.max_body_bytes;
+}
+
 bool BackendRunner::FinishesBeforeStop(TimeMs now,
                                        const std::string& route) const {
   if (!stop_at_) return true;
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -41,6 +41,9 @@
   /// crashing backend servers, in ms. After fewer crashes it is still run, but
   /// not concurrently with another suspected request.
   int64_t crash_retry_after_ms = 5000;
+  /// Memory of the bodies of all requests here, in bytes; more are refused. A
+  /// request is not refused if no other has a body.
+  size_t max_body_bytes = 256 * 1024 * 1024;
 };
 
 /// Where an attempt came from, and where its answer is sent: the link address
@@ -193,6 +196,7 @@
 
   static bool IsLeaving(InstanceState state);
   std::optional<ErrorKind> CheckNew(TimeMs now, const Work& work) const;
+  bool ExceedsMemory(const ForwardRequest& request) const;
   bool FinishesBeforeStop(TimeMs now, const std::string& route) const;
   void RefuseUnfinishable(TimeMs now, Actions* actions);
   void ApplyDecisions(TimeMs now,
--- a/banyanloft/mesh/mesh_message.h
+++ b/banyanloft/mesh/mesh_message.h
@@ -8,6 +8,7 @@
 
 #include "banyanloft/core/digest.h"
 #include "banyanloft/core/error.h"
+#include "banyanloft/core/shared_bytes.h"
 #include "banyanloft/http/http_message.h"
 
 namespace banyanloft {
@@ -31,7 +32,7 @@
   std::string target;   ///< Path and query.
   HttpHeaders headers;  ///< End-to-end headers only, no hop-by-hop ones.
   std::string api_key;  ///< Of a client account; empty if there is none.
-  std::string body;
+  SharedBytes body;
 };
 
 /// Identifies equal requests: those with the same path and body. The caller
@@ -78,7 +79,7 @@
   std::string method;
   std::string target;
   HttpHeaders headers;
-  std::string body;
+  SharedBytes body;
 };
 
 /// The answer to an attempt.
--- a/banyanloft/mesh/settings_change.cc
+++ b/banyanloft/mesh/settings_change.cc
@@ -56,6 +56,7 @@
   at_restart.Add("gossip", in_use.gossip, next.gossip);
   at_restart.Add("backend", in_use.backend, next.backend);
   at_restart.Add("store", in_use.store, next.store);
+  at_restart.Add("memory_mb", in_use.memory_mb, next.memory_mb);
   at_restart.Add("link_bytes_per_ms", before.config.link_bytes_per_ms,
                  after.config.link_bytes_per_ms);
   return change;
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -10,6 +10,7 @@
 #include <csignal>
 
 #include "banyanloft/core/loop_lag.h"
+#include "banyanloft/core/random.h"
 #include "banyanloft/core/time.h"
 #include "banyanloft/daemon/metrics_page.h"
 #include "banyanloft/http/http_client.h"
@@ -43,6 +44,29 @@
 /// the memory of the smallest instances.
 constexpr size_t kMaxBufferedResponseBytes = 16 * 1024 * 1024;
 
+/// Longest request that is passed on to another daemon, in bytes: the largest
+/// `max_body_bytes` of a configuration, and a head.
+constexpr size_t kMaxLinkMessageBytes = 65 * 1024 * 1024;
+constexpr size_t kBytesPerMb = 1000 * 1000;
+/// Request bodies of readiness checks, reports and the like, in bytes.
+constexpr size_t kMaxControlBodyBytes = 4 * 1024 * 1024;
+/// Mean Retry-After of a request that is refused for lack of memory, in ms.
+constexpr int64_t kMemoryRetryMs = 1000;
+
+/// Memory of the request bodies of clients: a quarter of the instance's memory
+/// for long ones. A body of the largest size has more room: alone, it would
+/// otherwise be refused. In total at most two thirds are used, because daemons
+/// also hold bodies of requests of other daemons.
+BodyBudgetSettings ClientBodies(int64_t memory_mb, size_t max_body_bytes) {
+  constexpr size_t kHeadroom = kBytesPerMb;
+  size_t memory = static_cast<size_t>(memory_mb) * kBytesPerMb;
+  BodyBudgetSettings bodies;
+  size_t largest = std::min(max_body_bytes + kHeadroom, memory * 9 / 20);
+  bodies.max_bytes = std::max(memory / 4, largest);
+  bodies.max_small_bytes = memory / 16;
+  return bodies;
+}
+
 /// Total time that the machine has spent suspended, in ms.
 int64_t SuspendedMs() {
   timespec boot{};
@@ -125,7 +149,7 @@
   };
 
   void OnClientRequest(uint64_t id, HttpRequest request);
-  HttpResponse Refusal(ErrorKind kind) const;
+  HttpResponse Refusal(ErrorKind kind);
   HttpResponse HandleReadiness(const HttpRequest& request);
   HttpResponse HandleInstanceMessage(const HttpRequest& request);
   HttpResponse HandleMetrics(const HttpRequest& request);
@@ -173,6 +197,7 @@
   RouteTablePtr applied_table_;
   LoopLag lag_;
   int64_t suspended_ms_ = 0;
+  Random random_{SeedFromDevice()};
   uint64_t refused_inputs_ = 0;
 };
 
@@ -180,11 +205,14 @@
   HttpServerSettings clients;
   clients.listen = settings_.clients;
   clients.max_connections = settings_.max_clients;
+  clients.bodies = ClientBodies(settings_.memory_mb, clients.max_body_bytes);
   client_server_ = std::make_unique<HttpServer>(io_, clients, &client_handler_);
   auto serve = [this](InternalHandler* handler, const Endpoint& listen) {
     HttpServerSettings server;
     server.listen = listen;
     server.max_connections = kControlConnections;
+    server.bodies.max_bytes = kMaxControlBodyBytes;
+    server.bodies.max_small_bytes = kMaxControlBodyBytes;
     handler->Serve(std::make_unique<HttpServer>(io_, server, handler));
     return handler->Server()->Start();
   };
@@ -194,6 +222,7 @@
   link.secret = settings_.fleet;
   link.seed = settings_.node.seed;
   link.handshake_timeout_ms = 500;
+  link.frames.max_message_bytes = kMaxLinkMessageBytes;
   LinkListener* listener = this;
   links_ = std::make_unique<LinkHub>(io_, link, listener);
   gossip_ = std::make_unique<GossipSocket>(
@@ -238,6 +267,8 @@
                                     ? settings_.link.Text()
                                     : settings_.advertised_link;
   settings_.node.gossip_address = settings_.gossip.Text();
+  settings_.node.runner.max_body_bytes =
+      static_cast<size_t>(settings_.memory_mb) * kBytesPerMb / 4;
   MemberId id = Random(settings_.node.seed).Bits() | 1;
   node_ =
       std::make_unique<MeshNode>(settings_.node, id, clock_.Now(), protocol_);
@@ -351,6 +382,7 @@
   HttpServerSettings next;
   next.max_header_bytes = limits.max_header_bytes;
   next.max_body_bytes = limits.max_body_bytes;
+  next.bodies = ClientBodies(settings_.memory_mb, limits.max_body_bytes);
   next.header_timeout_ms = limits.header_timeout_ms;
   next.read_timeout_ms = settings_.body_timeout_ms;
   next.idle_timeout_ms = limits.idle_timeout_ms;
@@ -383,12 +415,14 @@
 }
 
 void Sidecar::Impl::OnClientRequest(uint64_t id, HttpRequest request) {
+  int64_t waited_ms = request.waited_ms;
   Result<MeshRequest> read = protocol_->ReadClientRequest(std::move(request));
   if (const Error* error = ErrorOf(read)) {
     Log(LogLevel::kWarning, "request_malformed", {{"detail", error->detail}});
     return client_server_->Reply(id, Refusal(error->kind));
   }
   MeshRequest& client = *ValueOf(read);
+  client.buffered_ms = waited_ms;
   if (client.wait_ms > 0)
     client.wait_ms =
         std::max<int64_t>(1, client.wait_ms - lag_.LagMs(clock_.Now()));
@@ -397,10 +431,15 @@
   });
 }
 
-HttpResponse Sidecar::Impl::Refusal(ErrorKind kind) const {
+HttpResponse Sidecar::Impl::Refusal(ErrorKind kind) {
   MeshAnswer answer;
   answer.error = kind;
   answer.run_state = RunState::kNotRun;
+  // Spread, so that the refused clients do not return together.
+  if (kind == ErrorKind::kQueueFull)
+    answer.retry_after_ms =
+        kMemoryRetryMs / 2 +
+        static_cast<int64_t>(random_.Below(uint64_t{kMemoryRetryMs}));
   return protocol_->WriteClientResponse(std::move(answer));
 }
 
@@ -440,6 +479,7 @@
   for (const Counters* group : node_->AllCounters()) counters.push_back(*group);
   counters.push_back(links_->Counts());
   counters.push_back(gossip_->Counts());
+  counters.push_back(client_server_->Counts());
   uint64_t version = applied_table_ ? applied_table_->Version() : 0;
   std::vector<Gauge> gauges = {
       {"version_in_force", "Version of the configuration in force",
@@ -458,6 +498,8 @@
       {"requests_suspected",
        "Requests that are suspected of crashing backend servers",
        static_cast<double>(node_->Runner().Suspects().Size())},
+      {"request_body_bytes", "Memory of the request bodies of clients",
+       static_cast<double>(client_server_->HeldBodyBytes())},
       {"log_lines_dropped", "Log lines dropped since the start",
        static_cast<double>(DroppedLogLines())},
       {"ready", "1 if clients should send new work here",
--- a/banyanloft/mesh/sidecar_settings.h
+++ b/banyanloft/mesh/sidecar_settings.h
@@ -32,6 +32,9 @@
   /// Period of checking the settings for changes, in ms; SIGHUP reloads them
   /// immediately.
   int64_t settings_poll_ms = 2000;
+  /// Memory of the instance, in MB (1,000,000 bytes). The memory of request
+  /// bodies is derived from it.
+  int64_t memory_mb = 1024;
   size_t max_clients = 3000;  ///< Maximum number of client connections.
   /// Maximum number of connections to the backend server.
   size_t max_backend_connections = 100;
--- a/banyanloft/mesh/startup_buffer.cc
+++ b/banyanloft/mesh/startup_buffer.cc
@@ -47,7 +47,7 @@
 std::vector<StartupBuffer::BufferedRequest> StartupBuffer::TakeAll(TimeMs now) {
   std::vector<BufferedRequest> out;
   for (auto& [id, entry] : entries_) {
-    entry.request.buffered_ms = now - entry.arrived_at;
+    entry.request.buffered_ms += now - entry.arrived_at;
     out.push_back({id, std::move(entry.request)});
   }
   entries_.clear();
--- a/banyanloft/mesh/startup_buffer.h
+++ b/banyanloft/mesh/startup_buffer.h
@@ -48,7 +48,8 @@
   /// Removes and returns the requests whose time in the buffer has ended,
   /// oldest first.
   std::vector<BufferedRequest> TakeExpired(TimeMs now);
-  /// Removes and returns all requests, oldest first, with `buffered_ms` set.
+  /// Removes and returns all requests, oldest first. Their time in the buffer
+  /// is added to `buffered_ms`.
   std::vector<BufferedRequest> TakeAll(TimeMs now);
   /// Removes and returns the request of a client that has disconnected, if it
   /// was buffered.
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -256,6 +256,23 @@
   CHECK(!AnswerOf(1)->error);
 }
 
+/// Guards against bodies of other daemons that together exceed the memory.
+TEST(backend_runner, bodiesExceedTheMemory_newOnesAreRefusedAsNotRun) {
+  BackendRunnerSettings settings;
+  settings.service = "s";
+  settings.address = kAddress;
+  settings.max_body_bytes = 100000;
+  runner_ = std::make_unique<BackendRunner>(settings, 1, TimeMs(0));
+  Report(1);
+  Forward(TimeMs(0), 1, false, std::string(150000, 'x'));
+  Forward(TimeMs(0), 2, false, std::string(20000, 'x'));
+  Forward(TimeMs(0), 3, false, "small");
+  CHECK(AnswerOf(1) == nullptr);
+  CHECK(AnswerOf(2)->error == ErrorKind::kOverloaded);
+  CHECK(AnswerOf(2)->run_state == RunState::kNotRun);
+  CHECK(AnswerOf(3) == nullptr);
+}
+
 TEST(backend_runner, forward_otherService_refusedAsNotRun) {
   Report(1);
   ForwardRequest request;
--- a/tests/link_test.cc
+++ b/tests/link_test.cc
@@ -172,6 +172,49 @@
   CHECK(std::get<PullReply>(*ValueOf(pulled)).removed == reply.removed);
 }
 
+/// Guards against a body that is damaged because it is encoded apart from the
+/// rest of its message.
+TEST(link, longBody_encodedInPartsAndDecoded_isUnchanged) {
+  for (const char* account : {"", "an account"}) {
+    ForwardRequest request;
+    request.attempt = 7;
+    request.target = "/x";
+    request.account = account;
+    request.body = std::string(100000, 'x') + "end";
+    EncodedMessage parts = EncodePeerMessageInParts(request);
+    CHECK_EQUAL(request.body.size(), parts.body.size());
+    FrameScheduler scheduler(frames_);
+    CHECK(scheduler.Push(0, 1, parts));
+    FrameAssembler assembler(frames_);
+    std::optional<std::string> bytes;
+    std::optional<uint64_t> started;
+    while (std::optional<std::string> frame = scheduler.Pop(&started)) {
+      CHECK(!bytes);
+      bytes = *ValueOf(assembler.Push(*frame));
+    }
+    CHECK(bytes == parts.head + parts.body.Get() + parts.tail);
+    Result<PeerMessage> back = DecodePeerMessageInPlace(*bytes);
+    const auto& got = std::get<ForwardRequest>(*ValueOf(back));
+    CHECK(got.body == request.body);
+    CHECK(got.target == request.target);
+    CHECK(got.account == account);
+    for (size_t size = 0; size < bytes->size(); size += 1 + size / 50)
+      CHECK(ErrorOf(DecodePeerMessageInPlace(bytes->substr(0, size))) !=
+            nullptr);
+    CHECK(ErrorOf(DecodePeerMessageInPlace(*bytes + "x")) != nullptr);
+    Result<PeerMessage> copied = DecodePeerMessage(EncodePeerMessage(request));
+    CHECK(std::get<ForwardRequest>(*ValueOf(copied)).body == request.body);
+  }
+}
+
+/// Guards against a message that is within the limits and never fits.
+TEST(link, messageLongerThanTheQueue_isTakenByAnEmptyQueue) {
+  frames_.max_queued_bytes = 1000;
+  FrameScheduler scheduler(frames_);
+  CHECK(scheduler.Push(0, 1, std::string(5000, 'x')));
+  CHECK(!scheduler.Push(0, 2, std::string(1, 'x')));
+}
+
 TEST(link, truncatedOrModifiedMessages_areRejectedOrDecoded) {
   std::string bytes = EncodePeerMessage(Request(1, 20));
   for (size_t i = 0; i < bytes.size(); ++i) {
