--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -1,11 +1,16 @@
 #include "banyanloft/links/peer_message.h"
 
+#include <optional>
+
 #include "banyanloft/core/digest.h"
 #include "banyanloft/links/cbor.h"
 
 namespace banyanloft {
 namespace {
 
+/// Shorter bodies are copied into the encoded message.
+constexpr size_t kMinSharedBytes = 16 * 1024;
+
 constexpr size_t kMacBytes = 32;
 /// Stands for "no error" in place of an error kind.
 constexpr int kNoError = -1;
@@ -172,19 +177,26 @@
   if (!list.Done()) r->Fail();
 }
 
+/// Fields that follow the body. The account is left out if there is none, so
+/// that members without this field understand the message.
+std::vector<Json> FieldsAfterBody(const ForwardRequest& m, uint32_t features) {
+  std::vector<Json> fields;
+  bool detail = (features & kLoadDetailFeature) != 0;
+  if (detail || !m.account.empty()) fields.emplace_back(m.account);
+  if (detail) {
+    fields.emplace_back(m.expected_run_ms);
+    fields.emplace_back(m.max_wait_ms);
+  }
+  return fields;
+}
+
 Json Encode(const ForwardRequest& m, uint32_t features) {
   Json fields = Json::array({m.attempt, m.request_id, m.caller, m.service,
                              m.route, m.idempotent, m.priority, m.aim_left_ms,
                              m.remaining_ms, m.method, BytesValue(m.target),
                              EncodeHeaders(m.headers), BytesValue(m.body)});
-  // Left out without an account, so that members without this field understand
-  // the message.
-  bool detail = (features & kLoadDetailFeature) != 0;
-  if (detail || !m.account.empty()) fields.push_back(m.account);
-  if (detail) {
-    fields.push_back(m.expected_run_ms);
-    fields.push_back(m.max_wait_ms);
-  }
+  for (Json& field : FieldsAfterBody(m, features))
+    fields.push_back(std::move(field));
   return Tagged(MessageTag::kForwardRequest, std::move(fields));
 }
 
@@ -403,6 +415,44 @@
   if (!list.Done()) r->Fail();
 }
 
+/// Where the body of an encoded ForwardRequest is.
+struct BodyRange {
+  size_t item = 0;   ///< Of its byte string, with the head.
+  size_t begin = 0;  ///< Of its bytes.
+  size_t end = 0;
+};
+
+/// Finds a long body without decoding the message; empty if there is none.
+std::optional<BodyRange> FindLongBody(std::string_view bytes) {
+  constexpr int kUnsignedType = 0;
+  constexpr int kBytesType = 2;
+  constexpr int kArrayType = 4;
+  constexpr uint64_t kFieldsBefore = 12;
+  if (bytes.size() < kMinSharedBytes) return std::nullopt;
+  auto outer = ReadCborItemHead(bytes, 0);
+  if (!outer || outer->major != kArrayType) return std::nullopt;
+  auto tag = ReadCborItemHead(bytes, outer->end);
+  bool forward =
+      tag && tag->major == kUnsignedType &&
+      tag->argument == static_cast<uint64_t>(MessageTag::kForwardRequest);
+  if (!forward) return std::nullopt;
+  auto fields = ReadCborItemHead(bytes, tag->end);
+  if (!fields || fields->major != kArrayType ||
+      fields->argument <= kFieldsBefore)
+    return std::nullopt;
+  std::optional<size_t> at = fields->end;
+  for (uint64_t i = 0; at && i < kFieldsBefore; ++i)
+    at = SkipCborItem(bytes, *at);
+  if (!at) return std::nullopt;
+  auto body = ReadCborItemHead(bytes, *at);
+  bool found = body && body->major == kBytesType &&
+               body->argument >= kMinSharedBytes &&
+               body->argument <= bytes.size() - body->end;
+  if (!found) return std::nullopt;
+  return BodyRange{*at, body->end,
+                   body->end + static_cast<size_t>(body->argument)};
+}
+
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message, uint32_t features) {
@@ -420,6 +470,27 @@
       message));
 }
 
+EncodedMessage EncodePeerMessageInParts(const PeerMessage& message,
+                                        uint32_t features) {
+  EncodedMessage parts;
+  const auto* forward = std::get_if<ForwardRequest>(&message);
+  if (forward == nullptr || forward->body.size() < kMinSharedBytes) {
+    parts.head = EncodePeerMessage(message, features);
+    return parts;
+  }
+  // Encodes the message without the body and puts it in the place of the empty
+  // byte string.
+  ForwardRequest bare = *forward;
+  bare.body = SharedBytes();
+  parts.head = ToCbor(Encode(bare, features));
+  for (const Json& field : FieldsAfterBody(bare, features))
+    parts.tail += ToCbor(field);
+  parts.body = forward->body;
+  parts.head.resize(parts.head.size() - parts.tail.size() - 1);
+  parts.head += CborBytesHead(forward->body.size());
+  return parts;
+}
+
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
   Json value = FromCbor(bytes);
   int64_t tag = 0;
@@ -433,6 +504,19 @@
   return message;
 }
 
+Result<PeerMessage> DecodePeerMessageInPlace(std::string bytes) {
+  std::optional<BodyRange> body = FindLongBody(bytes);
+  if (!body) return DecodePeerMessage(bytes);
+  std::string bare =
+      bytes.substr(0, body->item) + CborBytesHead(0) + bytes.substr(body->end);
+  Result<PeerMessage> message = DecodePeerMessage(bare);
+  if (ErrorOf(message) != nullptr) return message;
+  bytes.resize(body->end);
+  bytes.erase(0, body->begin);
+  std::get<ForwardRequest>(*ValueOf(message)).body = std::move(bytes);
+  return message;
+}
+
 std::string EncodeDatagram(const Datagram& d, const std::string& secret) {
   Json subject = d.subject.id != 0 ? Encode(d.subject) : Json(nullptr);
   Json fields = Json::array(
