Backend servers that reset when full are told apart from crashed ones

What callers saw: a server that is full resets connections, health checks as well. Its daemon took the reset check for a crash: all requests that had broken within 6 s became suspects, everything queued was refused and the server was taken out of use. A restarted daemon used all slots after its first answer, beside runs that its predecessor had left at the server.

Cause: a health check that was reset counted like a refused connection, and a restarted daemon held back only until the first response.

Change: a reset health check confirms a crash only if no run of before it is in progress, and beside runs of an earlier process only after three in a row. Broken runs that another run outlived are no longer blamed. A new connection closed before anything was written is a refusal (reset_unsent, not run), and a request whose idle connection turns out to be closed is sent on another one.

--- a/banyanloft/admission/lost_runs.cc
+++ b/banyanloft/admission/lost_runs.cc
@@ -27,6 +27,16 @@
       unanswered_.end());
 }
 
+void LostRuns::OnAnswered(TimeMs now, TimeMs started) {
+  broken_.erase(std::remove_if(broken_.begin(), broken_.end(),
+                               [&](const LostRun& run) {
+                                 return run.ended > started &&
+                                        now - run.ended >=
+                                            settings_.late_read_ms;
+                               }),
+                broken_.end());
+}
+
 std::vector<uint64_t> LostRuns::TakeBroken(TimeMs now) {
   std::vector<uint64_t> fingerprints;
   for (const LostRun& run : broken_) {
--- a/banyanloft/admission/lost_runs.h
+++ b/banyanloft/admission/lost_runs.h
@@ -14,6 +14,9 @@
   /// later, in ms: a crash breaks all connections at once, and the backend
   /// server restarts within seconds.
   int64_t broken_window_ms = 6000;
+  /// Time within which a response received before a crash may still be read
+  /// after it, in ms: a daemon with a tenth of a core may run this late.
+  int64_t late_read_ms = 300;
   size_t max_unanswered = 100;  ///< Unanswered runs that are remembered.
 };
 
@@ -30,6 +33,11 @@
   void OnUnanswered(TimeMs now, uint64_t fingerprint);
   /// The backend server responded to a run that started at `started`.
   void OnResponse(TimeMs started);
+  /// The backend server answered a run that started at `started`. A crash
+  /// breaks all connections, so those that broke during that run broke for
+  /// another reason. Not if that was just before: the response may have been
+  /// received before a crash.
+  void OnAnswered(TimeMs now, TimeMs started);
   /// Takes the requests whose connections broke within the window.
   std::vector<uint64_t> TakeBroken(TimeMs now);
   /// Takes these and the unanswered ones: the backend server has restarted.
--- a/banyanloft/daemon/daemon.cc
+++ b/banyanloft/daemon/daemon.cc
@@ -676,6 +676,7 @@
         if (outcome.failure) {
           switch (*outcome.failure) {
             case HttpFailure::kNotSent:
+            case HttpFailure::kResetUnsent:
             case HttpFailure::kInvalidRequest:
               result.type = BackendResult::Type::kNotSent;
               break;
--- a/banyanloft/daemon/metrics_page.cc
+++ b/banyanloft/daemon/metrics_page.cc
@@ -108,6 +108,8 @@
        "Answers that came after the request had ended"},
       {"run_results_total", "result", "Runs by how they ended"},
       {"instance_probes_total", "", "Health questions to the backend server"},
+      {"instance_probes_reset_total", "",
+       "Health questions reset by a backend server that may be full"},
       {"backend_limit_changes_total", "",
        "Changes of the request rate that the backend server accepts"},
       {"backend_limits_malformed_total", "",
--- a/banyanloft/http/http_client.cc
+++ b/banyanloft/http/http_client.cc
@@ -115,7 +115,7 @@
 
   void Start(Job job) {
     job_ = std::move(job);
-
+    reused_ = true;
     Write();
   }
 
@@ -159,11 +159,9 @@
                        [self = shared_from_this(), long_body](
                            beast::error_code error, size_t bytes) {
                          if (!self->job_) return;
-                         if (error) {
-                           return self->Finish(bytes == 0
-                                                   ? HttpFailure::kNotSent
-                                                   : self->FailureOf(error));
-                         }
+                         if (error && bytes == 0)
+                           return self->FinishUnsent(error);
+                         if (error) return self->Finish(self->FailureOf(error));
                          self->written_ = true;
                          if (!long_body) self->ReadResponse();
                        });
@@ -172,6 +170,21 @@
     if (long_body) ReadResponse();
   }
 
+  /// No byte was written: a request for which the server closed an idle
+  /// connection is sent on another one.
+  void FinishUnsent(beast::error_code error) {
+    if (cancelled_ || error == beast::error::timeout)
+      return Finish(HttpFailure::kNotSent);
+    if (!reused_) return Finish(HttpFailure::kResetUnsent);
+    CloseSocket();
+    SetBufferedBytes(0);
+    Job job = std::move(*job_);
+    job_.reset();
+    client_->busy_.erase(job.id);
+    --client_->open_connections_;
+    if (!client_->closed_) client_->Assign(std::move(job));
+  }
+
   /// False if the request cannot be written as HTTP: Beast then throws.
   bool PrepareMessage(const HttpRequest& request) {
     try {
@@ -325,6 +338,7 @@
   /// unnoticed.
   bool desynchronized_ = false;
   bool cancelled_ = false;
+  bool reused_ = false;  ///< Has carried a request before.
 };
 
 void HttpClient::Impl::Send(uint64_t id, HttpRequest request,
--- a/banyanloft/http/http_client.h
+++ b/banyanloft/http/http_client.h
@@ -34,7 +34,9 @@
 
 /// Why a request got no response.
 enum class HttpFailure : uint8_t {
-  kNotSent,         ///< No byte of it was written.
+  kNotSent,  ///< No byte of it was written.
+  /// The same, because the server closed the new connection.
+  kResetUnsent,
   kInvalidRequest,  ///< It cannot be written as HTTP; no byte was written.
   kBroken,          ///< The connection failed or the response was malformed.
   kTooLarge,        ///< The response body exceeds a limit.
--- a/banyanloft/mesh/backend_client.cc
+++ b/banyanloft/mesh/backend_client.cc
@@ -14,6 +14,8 @@
   switch (failure) {
     case HttpFailure::kNotSent:
       return RunResult::Type::kNotSent;
+    case HttpFailure::kResetUnsent:
+      return RunResult::Type::kResetUnsent;
     case HttpFailure::kInvalidRequest:
       return RunResult::Type::kInvalid;
     case HttpFailure::kTimeout:
@@ -98,6 +100,8 @@
         if (!outcome.failure) result = protocol_->ReadProbe(outcome.response);
         result.up =
             !outcome.failure || *outcome.failure == HttpFailure::kTimeout;
+        result.reset = outcome.failure == HttpFailure::kBroken ||
+                       outcome.failure == HttpFailure::kResetUnsent;
         boost::asio::post(io_, [this, result] { listener_->OnProbed(result); });
       },
       [](const HttpResponse&) { return ResponseMatch::kUnidentified; });
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -21,6 +21,8 @@
     case RunResult::Type::kMisplaced:
     case RunResult::Type::kNotSent:
       return ErrorKind::kBackendUnavailable;
+    case RunResult::Type::kResetUnsent:
+      return ErrorKind::kOverloaded;
     case RunResult::Type::kInvalid:
       return ErrorKind::kMalformedRequest;
     case RunResult::Type::kTimeout:
@@ -39,7 +41,9 @@
 bool IsKnownNotRun(RunResult::Type type) {
   return type == RunResult::Type::kRejected ||
          type == RunResult::Type::kMisplaced ||
-         type == RunResult::Type::kNotSent || type == RunResult::Type::kInvalid;
+         type == RunResult::Type::kNotSent ||
+         type == RunResult::Type::kResetUnsent ||
+         type == RunResult::Type::kInvalid;
 }
 
 InstanceRegistrySettings RegistrySettings(
@@ -63,9 +67,10 @@
 }  // namespace
 
 const char* NameOf(RunResult::Type type) {
-  constexpr std::array<const char*, 10> kNames = {
-      "answered", "rejected", "misplaced", "not_sent", "invalid",
-      "broken",   "garbled",  "oversized", "timeout",  "cancelled"};
+  constexpr std::array<const char*, 11> kNames = {
+      "answered",     "rejected", "misplaced", "not_sent",
+      "reset_unsent", "invalid",  "broken",    "garbled",
+      "oversized",    "timeout",  "cancelled"};
   return kNames[static_cast<size_t>(type)];
 }
 
@@ -76,10 +81,12 @@
       start_(now),
       registry_(RegistrySettings(settings), now),
       admission_(settings.admission),
+      slot_ramp_(settings.slot_ramp, now),
       crash_guard_(settings.crash_guard),
       lost_runs_(settings.lost_runs),
       next_probe_(now) {
   admission_.AwaitRateLimit(settings.runs_before_first_response);
+  UpdateSlotLimit(now);
 }
 
 const std::string& BackendRunner::Service() const {
@@ -247,7 +254,12 @@
   } else if (!result.notice) {
     admission_.OnNoResponse();
   }
-  if (result.notice) lost_runs_.OnResponse(work.started);
+  if (result.notice) {
+    lost_runs_.OnResponse(work.started);
+    reset_probes_ = 0;
+    bool present = work.server_start == registry_.Starts();
+    if (present) lost_runs_.OnAnswered(now, work.started);
+  }
   bool answered = result.type == RunResult::Type::kAnswered;
   int64_t run_ms = answered ? now - work.started : -1;
   counters_.Add("run_results_total", NameOf(result.type));
@@ -273,7 +285,10 @@
 
   ForwardAnswer answer;
   answer.arrived = result.type != RunResult::Type::kNotSent &&
+                   result.type != RunResult::Type::kResetUnsent &&
                    result.type != RunResult::Type::kInvalid;
+  if (result.type == RunResult::Type::kResetUnsent)
+    answer.retry_after_ms = settings_.full_retry_after_ms;
   answer.run_ms = run_ms;
   answer.waited_ms = work.started - work.arrived;
   if (answered) {
@@ -295,6 +310,12 @@
     MarkInstanceUnreachable(now, actions);
     Probe(now, actions);
   }
+  if (result.type == RunResult::Type::kResetUnsent) Probe(now, actions);
+  bool broken = result.type == RunResult::Type::kBroken ||
+                result.type == RunResult::Type::kResetUnsent;
+  if (answered) slot_ramp_.OnAnswered();
+  if (broken) slot_ramp_.OnBroken(admission_.Slots());
+  UpdateSlotLimit(now);
   AdmissionController::Decisions decisions;
   admission_.Finish(now, result.run, run_ms, &decisions);
   ApplyDecisions(now, decisions, actions);
@@ -354,6 +375,8 @@
 void BackendRunner::OnReport(TimeMs now, const InstanceReport& report,
                              Actions* actions) {
   if (report.slots > 0) admission_.SetSlots(report.slots);
+  if (report.sequence <= settings_.max_young_reports) slot_ramp_.End();
+  UpdateSlotLimit(now);
   InstanceState before = registry_.State();
   uint64_t starts = registry_.Starts();
   InstanceRegistry::Change change = registry_.OnReport(now, report);
@@ -383,6 +406,8 @@
       counters_.Add("instance_reports_ignored_total");
       return;
     case InstanceRegistry::Change::kStarted:
+      slot_ramp_.End();
+      UpdateSlotLimit(now);
       LogInstance(now, "instance_started", source, actions);
       SetRateLimit(now, std::nullopt, actions);
       break;
@@ -431,7 +456,8 @@
 /// Logs the result of a health check if it differs from that of the last one.
 void BackendRunner::LogHealthCheck(const ProbeResult& result,
                                    Actions* actions) {
-  std::string health = !result.up                 ? "unreachable"
+  std::string health = result.reset               ? "reset"
+                       : !result.up               ? "unreachable"
                        : !result.instance.empty() ? "healthy"
                        : result.status == 0       ? "timeout"
                                                   : "unhealthy";
@@ -449,6 +475,7 @@
 void BackendRunner::Probe(TimeMs now, Actions* actions) {
   if (probing_ || now < next_probe_) return;
   probing_ = true;
+  probed_at_ = now;
   probed_start_ = registry_.Starts();
   next_probe_ = now + settings_.probe_interval_ms;
   counters_.Add("instance_probes_total");
@@ -462,6 +489,12 @@
   const std::string& instance = result.instance;
   if (result.notice && probed_start_ == registry_.Starts())
     OnNotice(now, *result.notice, "health_check", actions);
+  reset_probes_ = result.reset ? reset_probes_ + 1 : 0;
+  if (result.reset && MayBeFull(now)) {
+    counters_.Add("instance_probes_reset_total");
+    return;
+  }
+  reset_probes_ = 0;
   if (!result.up) {
     OnUnreachable(now, actions);
     return MarkInstanceUnreachable(now, actions);
@@ -655,6 +688,7 @@
 
 void BackendRunner::Tick(TimeMs now, Actions* actions) {
   if (stop_at_) RefuseUnfinishable(now, actions);
+  UpdateSlotLimit(now);
   AdmissionController::Decisions decisions;
   admission_.Tick(now, &decisions);
   ApplyDecisions(now, decisions, actions);
@@ -663,8 +697,28 @@
   if (MustProbe(now)) Probe(now, actions);
 }
 
+/// Whether a backend server that resets a health check is in service and full
+/// rather than gone. A crash breaks all connections, so it runs as long as a
+/// run of before the check has not ended. Beside runs of an earlier process,
+/// all of the daemon's own may be reset.
+bool BackendRunner::MayBeFull(TimeMs now) const {
+  bool in_progress =
+      std::any_of(works_.begin(), works_.end(), [&](const auto& entry) {
+        const Work& work = entry.second;
+        return work.running && work.started < probed_at_ &&
+               work.server_start == registry_.Starts();
+      });
+  if (in_progress) return true;
+  return slot_ramp_.Active(now) && reset_probes_ < settings_.max_reset_probes;
+}
+
+/// Leaves slots to runs that an earlier process may have started.
+void BackendRunner::UpdateSlotLimit(TimeMs now) {
+  admission_.LimitSlots(slot_ramp_.Limit(now, admission_.Slots()));
+}
+
 bool BackendRunner::MustProbe(TimeMs now) const {
-  if (registry_.NeedsHealthCheck()) return true;
+  if (registry_.NeedsHealthCheck() || reset_probes_ > 0) return true;
   if (registry_.State() != InstanceState::kReady) return false;
   bool silent = now - registry_.ReportedAt() >
                 settings_.heartbeat_ms * settings_.max_missed_reports;
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -16,6 +16,7 @@
 #include "banyanloft/mesh/backend_notice.h"
 #include "banyanloft/mesh/instance_registry.h"
 #include "banyanloft/mesh/mesh_message.h"
+#include "banyanloft/mesh/slot_ramp.h"
 
 namespace banyanloft {
 
@@ -26,6 +27,16 @@
   AdmissionSettings admission;
   CrashGuardSettings crash_guard;
   LostRunsSettings lost_runs;
+  SlotRampSettings slot_ramp;
+  /// Consecutive health checks that are reset before a backend server which may
+  /// be full counts as unreachable.
+  int max_reset_probes = 3;
+  /// Number of the last report of a backend server too young for runs of an
+  /// earlier process.
+  int64_t max_young_reports = 2;
+  /// Retry delay sent when the backend server closes new connections, in ms:
+  /// about a run.
+  int64_t full_retry_after_ms = 200;
   int64_t heartbeat_ms = 1500;  ///< Period of the backend server's reports.
   /// Number of consecutive missed reports after which a health check is sent:
   /// one may be lost, and one late.
@@ -90,6 +101,8 @@
     kRejected,   ///< The backend server reports that it did not run it.
     kMisplaced,  ///< Another instance has the address; it did not run it.
     kNotSent,    ///< Nothing of the request was sent: it never ran.
+    /// The same, because the backend server closed the new connection.
+    kResetUnsent,
     kInvalid,    ///< The request cannot be sent to any server: it never ran.
     kBroken,     ///< The connection closed before the response was complete.
     kGarbled,    ///< The response does not belong to the request.
@@ -113,6 +126,8 @@
   std::string instance;  ///< Its id if it reports itself healthy, else empty.
   std::optional<BackendNotice> notice;  ///< Empty if there was no response.
   int status = 0;  ///< HTTP status; 0: there was no response.
+  /// With !up: it accepted the connection and closed it without a response.
+  bool reset = false;
 };
 
 /// Target side of a request: tracks the backend server on this instance, admits
@@ -217,6 +232,8 @@
   void ApplyLeaving(TimeMs now, const char* source, Actions* actions);
   void SetRateLimit(TimeMs now, std::optional<double> per_s, Actions* actions);
   bool MustProbe(TimeMs now) const;
+  bool MayBeFull(TimeMs now) const;
+  void UpdateSlotLimit(TimeMs now);
   void OnUnreachable(TimeMs now, Actions* actions);
   void OnRestart(TimeMs now, InstanceState before, Actions* actions);
   void RecordCrash(TimeMs now, std::vector<uint64_t> fingerprints,
@@ -233,6 +250,7 @@
   TimeMs start_;  ///< Of this process.
   InstanceRegistry registry_;
   AdmissionController admission_;
+  SlotRamp slot_ramp_;
   CrashGuard crash_guard_;
   bool accepting_ = true;
   std::optional<TimeMs> stop_at_;  ///< End of the planned stop, if any.
@@ -241,6 +259,8 @@
   std::map<ForwardOrigin, uint64_t> work_by_origin_;
   LostRuns lost_runs_;
   bool probing_ = false;
+  TimeMs probed_at_;           ///< When the last health check was sent.
+  int reset_probes_ = 0;       ///< Consecutive ones that were reset.
   uint64_t probed_start_ = 0;  ///< InstanceRegistry::Starts() at the check.
   std::string last_health_;    ///< Result of the last health check, as logged.
   TimeMs next_probe_;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -273,7 +273,8 @@
           result.body_matches = answer.body == expected_body;
         }
         // No byte was sent, so no daemon had to answer.
-        if (outcome.failure == HttpFailure::kNotSent)
+        if (outcome.failure == HttpFailure::kNotSent ||
+            outcome.failure == HttpFailure::kResetUnsent)
           result.client_aborted = true;
         history_.OnOutcome(id, result);
       });
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -242,6 +242,30 @@
   CHECK(!AnswerOf(1)->error);
 }
 
+// Daemons of the earlier version, which send no accounts, reject a load of more
+// than four classes.
+TEST(backend_runner, answerToRequestWithoutAccount_loadHasTheEarlierClasses) {
+  Report(1);
+  for (uint64_t attempt = 1; attempt <= 3; ++attempt) {
+    ForwardRequest request;
+    request.attempt = attempt;
+    request.service = "s";
+    request.route = "r";
+    request.account = attempt == 1 ? "" : "a";
+    request.priority = attempt == 3 ? 6 : 0;
+    request.aim_left_ms = 1000;
+    request.remaining_ms = 2000;
+    runner_->OnForward(TimeMs(0), "peer:1", request, &actions_);
+  }
+  Forward(TimeMs(0), 4, false);
+  End(0, RunResult::Type::kAnswered);
+  End(1, RunResult::Type::kAnswered);
+  const TargetLoad& merged = AnswerOf(1)->load;
+  LONGS_EQUAL(merged.ahead.back(), merged.ahead[kRouteClasses - 1]);
+  const TargetLoad& full = AnswerOf(2)->load;
+  CHECK(full.ahead.back() > full.ahead[kRouteClasses - 1]);
+}
+
 TEST(backend_runner, drain_acknowledged_noNewRunStartsAndQueuedAreRefused) {
   Report(1);
   for (uint64_t attempt = 1; attempt <= 3; ++attempt)
--- a/tests/faulty_backend_test.cc
+++ b/tests/faulty_backend_test.cc
@@ -250,6 +250,31 @@
   }
 }
 
+/// A server that resets connections when it is full may have begun to run the
+/// request.
+TEST(faulty_backend, connectionResetInsteadOfAResponse_isBroken) {
+  for (const char* kept : {"", "r-1"}) {
+    Serve([&](const std::string& head, int) {
+      if (IdIn(head) == kept) return Script{ResponseTo(kept)};
+      return Script{"", true, true};
+    });
+    if (*kept != '\0') CHECK(Run(kept).type == RunResult::Type::kAnswered);
+    CHECK(Run("r-2").type == RunResult::Type::kBroken);
+  }
+}
+
+/// The close of an idle connection concerns no request.
+TEST(faulty_backend, idleConnectionClosedOrReset_nextRequestIsAnswered) {
+  for (bool reset : {false, true}) {
+    Serve([&](const std::string& head, int) {
+      return Script{ResponseTo(IdIn(head)), true, reset};
+    });
+    CHECK(Run("r-1").type == RunResult::Type::kAnswered);
+    CHECK(Run("r-2").type == RunResult::Type::kAnswered);
+    LONGS_EQUAL(2, server_->Connections());
+  }
+}
+
 /// Without a length a response ends with its connection; one that is reset is
 /// not complete.
 TEST(faulty_backend, responseWithoutLength_isCompleteOnlyIfClosedInOrder) {
--- a/tests/lost_runs_test.cc
+++ b/tests/lost_runs_test.cc
@@ -38,6 +38,27 @@
   CHECK_EQUAL(2U, taken.front());
 }
 
+/// A crash breaks all connections: a run that outlived a broken one shows that
+/// the latter was reset by a full server.
+TEST(lost_runs, runInProgressIsAnsweredLater_brokenOneIsDropped) {
+  lost_.OnBroken(TimeMs(100), 1);
+  lost_.OnAnswered(TimeMs(1000), TimeMs(50));
+  CHECK(lost_.TakeBroken(TimeMs(1000)).empty());
+}
+
+TEST(lost_runs, laterRunIsAnswered_brokenOneIsKept) {
+  lost_.OnBroken(TimeMs(100), 1);
+  lost_.OnAnswered(TimeMs(1000), TimeMs(150));
+  LONGS_EQUAL(1, lost_.TakeBroken(TimeMs(1000)).size());
+}
+
+/// The answer may have arrived before the crash.
+TEST(lost_runs, runInProgressIsAnsweredAtOnce_brokenOneIsKept) {
+  lost_.OnBroken(TimeMs(100), 1);
+  lost_.OnAnswered(TimeMs(100 + settings_.late_read_ms - 1), TimeMs(50));
+  LONGS_EQUAL(1, lost_.TakeBroken(TimeMs(1000)).size());
+}
+
 TEST(lost_runs, manyUnansweredRuns_theEarliestAreKept) {
   for (uint64_t i = 0; i < 2 * settings_.max_unanswered; ++i)
     lost_.OnUnanswered(TimeMs(static_cast<int64_t>(i)), i);
