--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -221,6 +221,25 @@
   return m;
 }
 
+/// The classes beyond those of the earlier version are left out if they add
+/// nothing, so that members of that version understand the message.
+Json EncodeAhead(const TargetLoad& load) {
+  bool is_short = load.ahead[kRouteClasses - 1] == load.ahead.back();
+  size_t count = is_short ? kRouteClasses : load.ahead.size();
+  Json list = Json::array();
+  for (size_t cls = 0; cls < count; ++cls) list.push_back(load.ahead[cls]);
+  return list;
+}
+
+void ReadAhead(CborReader* r, TargetLoad* load) {
+  CborReader list(r->Next());
+  for (size_t cls = 0; cls < load->ahead.size(); ++cls) {
+    bool left_out = cls >= kRouteClasses && list.Ok() && list.Done();
+    load->ahead[cls] = left_out ? load->ahead[cls - 1] : list.Int();
+  }
+  if (!list.Done()) r->Fail();
+}
+
 Json EncodeLoadDetail(const TargetLoad& load) {
   Json work = Json::array();
   for (int work_ms : load.queued_work_ms) work.push_back(work_ms);
@@ -238,8 +257,7 @@
 }
 
 Json Encode(const ForwardAnswer& m, uint32_t features) {
-  Json ahead = Json::array();
-  for (int count : m.load.ahead) ahead.push_back(count);
+  Json ahead = EncodeAhead(m.load);
   Json fields = Json::array(
       {m.attempt, static_cast<int>(m.run_state), ErrorToCbor(m.error),
        m.arrived, m.retry_after_ms, m.run_ms, m.waited_ms, m.load.slots, ahead,
@@ -260,9 +278,7 @@
   m.run_ms = r->Integer();
   m.waited_ms = r->Integer();
   m.load.slots = r->Int();
-  CborReader ahead(r->Next());
-  for (int& count : m.load.ahead) count = ahead.Int();
-  if (!ahead.Done()) r->Fail();
+  ReadAhead(r, &m.load);
   m.load.mean_run_ms = r->Int();
   m.response.status = r->Int();
   ReadHeaders(r, &m.response.headers);
--- a/banyanloft/mesh/route_table.h
+++ b/banyanloft/mesh/route_table.h
@@ -110,7 +110,7 @@
   std::unordered_map<std::string, size_t> by_api_key_;
   /// Priorities of the accounts in ascending order, without repetition.
   std::vector<int> account_priorities_;
-  int route_priorities_ = 1;  ///< One more than the highest of a route.
+  int route_priorities_ = 1;  ///< Number of classes that routes use.
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
