Fleet-wide quotas: escrow of tokens with one home per account (checkpoint)

What callers saw: rate_per_s and burst of a client account had no effect. Change: quota gate, home, view and terms with their messages and wiring.

--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -86,6 +86,9 @@
      "since the daemon started"},
     {"members_lost", "no other live member is known any more"},
     {"own_pause", "this process was suspended; duration"},
+    {"quota_refusing",
+     "requests of a client account are refused because of its quota, at most "
+     "one line per account and 10 s; reason, home, estimated rate here"},
     {"request_held",
      "request queued at start-up until the first configuration version "
      "arrives"},
--- a/banyanloft/links/link_hub.cc
+++ b/banyanloft/links/link_hub.cc
@@ -31,8 +31,10 @@
       std::holds_alternative<KeyRequest>(message) ||
       std::holds_alternative<PullRequest>(message) ||
       std::holds_alternative<ForwardRequest>(message) ||
-      std::holds_alternative<DocumentRequest>(message))
+      std::holds_alternative<DocumentRequest>(message) ||
+      std::holds_alternative<QuotaAsk>(message))
     return 1;
+  if (std::holds_alternative<QuotaHandover>(message)) return 0;
   const auto* cancel = std::get_if<CancelForward>(&message);
   return cancel != nullptr && cancel->only_if_queued ? 0 : -1;
 }
--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -26,6 +26,9 @@
   kCancelForward = 12,
   kDocumentRequest = 13,
   kDocumentReply = 14,
+  kQuotaAsk = 15,
+  kQuotaGrant = 16,
+  kQuotaHandover = 17,
 };
 
 Json Tagged(MessageTag tag, Json fields) {
@@ -173,10 +176,10 @@
 }
 
 Json Encode(const ForwardRequest& m) {
-  Json fields = Json::array(
-      {m.attempt, m.request_id, m.caller, m.service, m.route, m.idempotent,
-       m.priority, m.aim_left_ms, m.remaining_ms, m.method,
-       BytesValue(m.target), EncodeHeaders(m.headers), BytesValue(m.body)});
+  Json fields = Json::array({m.attempt, m.request_id, m.caller, m.service,
+                             m.route, m.idempotent, m.priority, m.aim_left_ms,
+                             m.remaining_ms, m.method, BytesValue(m.target),
+                             EncodeHeaders(m.headers), BytesValue(m.body)});
   // Left out without an account, so that members without this field understand
   // the message.
   if (!m.account.empty()) fields.push_back(m.account);
@@ -247,6 +250,100 @@
                 Json::array({m.version, BytesValue(m.packed)}));
 }
 
+Json Encode(const QuotaAsk& m) {
+  Json items = Json::array();
+  for (const QuotaAsk::Item& item : m.items) {
+    for (Json field :
+         {Json(item.account), Json(item.needed), Json(item.wanted),
+          Json(item.spent), Json(item.returned), Json(item.ends_lease)})
+      items.push_back(std::move(field));
+  }
+  return Tagged(MessageTag::kQuotaAsk, Json::array({m.sequence, items}));
+}
+
+QuotaAsk ReadQuotaAsk(CborReader* r) {
+  QuotaAsk m;
+  m.sequence = r->Unsigned();
+  CborReader items(r->Next());
+  while (items.Ok() && !items.Done()) {
+    QuotaAsk::Item item;
+    item.account = items.Unsigned();
+    item.needed = items.Int();
+    item.wanted = items.Int();
+    item.spent = items.Int();
+    item.returned = items.Int();
+    item.ends_lease = items.Bool();
+    bool valid = item.needed >= 0 && item.wanted >= 0 && item.spent >= 0 &&
+                 item.returned >= 0;
+    if (!valid) items.Fail();
+    m.items.push_back(item);
+  }
+  if (!items.Done()) r->Fail();
+  return m;
+}
+
+Json Encode(const QuotaGrant& m) {
+  Json items = Json::array();
+  for (const QuotaGrant::Item& item : m.items) {
+    for (Json field :
+         {Json(item.account), Json(static_cast<int>(item.status)),
+          Json(item.tokens), Json(item.life_ms), Json(item.lease_permille),
+          Json(item.retry_after_ms), Json(item.pause_ms), Json(item.home)})
+      items.push_back(std::move(field));
+  }
+  return Tagged(MessageTag::kQuotaGrant, Json::array({m.sequence, items}));
+}
+
+QuotaGrant ReadQuotaGrant(CborReader* r) {
+  QuotaGrant m;
+  m.sequence = r->Unsigned();
+  CborReader items(r->Next());
+  while (items.Ok() && !items.Done()) {
+    QuotaGrant::Item item;
+    item.account = items.Unsigned();
+    item.status = ReadEnum(&items, QuotaStatus::kYoung);
+    item.tokens = items.Int();
+    item.life_ms = items.Integer();
+    item.lease_permille = items.Integer();
+    item.retry_after_ms = items.Integer();
+    item.pause_ms = items.Integer();
+    item.home = items.Unsigned();
+    bool valid = item.tokens >= 0 && item.life_ms >= 0 &&
+                 item.lease_permille >= 0 && item.retry_after_ms >= 0 &&
+                 item.pause_ms >= 0;
+    if (!valid) items.Fail();
+    m.items.push_back(item);
+  }
+  if (!items.Done()) r->Fail();
+  return m;
+}
+
+Json Encode(const QuotaHandover& m) {
+  Json items = Json::array();
+  for (const QuotaHandover::Item& item : m.items) {
+    for (Json field : {Json(item.account), Json(item.tokens_permille),
+                       Json(item.reserved_permille), Json(item.reserved_ms)})
+      items.push_back(std::move(field));
+  }
+  return Tagged(MessageTag::kQuotaHandover, Json::array({items}));
+}
+
+QuotaHandover ReadQuotaHandover(CborReader* r) {
+  QuotaHandover m;
+  CborReader items(r->Next());
+  while (items.Ok() && !items.Done()) {
+    QuotaHandover::Item item;
+    item.account = items.Unsigned();
+    item.tokens_permille = items.Integer();
+    item.reserved_permille = items.Integer();
+    item.reserved_ms = items.Integer();
+    if (item.reserved_permille < 0 || item.reserved_ms < 0) items.Fail();
+    m.items.push_back(item);
+  }
+  if (!items.Done()) r->Fail();
+  return m;
+}
+
 KeyAnswer ReadKeyAnswer(CborReader* r) {
   KeyAnswer m;
   m.attempt = r->Unsigned();
@@ -289,6 +386,12 @@
       uint64_t version = r->Unsigned();
       return DocumentReply{version, r->Bytes()};
     }
+    case MessageTag::kQuotaAsk:
+      return ReadQuotaAsk(r);
+    case MessageTag::kQuotaGrant:
+      return ReadQuotaGrant(r);
+    case MessageTag::kQuotaHandover:
+      return ReadQuotaHandover(r);
     case MessageTag::kChallenge:
     case MessageTag::kHello:
       break;
@@ -389,7 +492,7 @@
   int64_t tag = 0;
   const Json* fields = FieldsOf(value, &tag);
   bool known = tag >= static_cast<int64_t>(MessageTag::kRunRequest) &&
-               tag <= static_cast<int64_t>(MessageTag::kDocumentReply);
+               tag <= static_cast<int64_t>(MessageTag::kQuotaHandover);
   if (fields == nullptr || !known) return ProtocolError("link message");
   CborReader reader(*fields);
   PeerMessage message = ReadMessage(static_cast<MessageTag>(tag), &reader);
--- a/banyanloft/links/peer_message.h
+++ b/banyanloft/links/peer_message.h
@@ -15,7 +15,8 @@
 using PeerMessage =
     std::variant<RunRequest, RunAnswer, CancelRun, KeyRequest, KeyAnswer,
                  PullRequest, PullReply, ForwardRequest, ForwardAnswer,
-                 CancelForward, DocumentRequest, DocumentReply>;
+                 CancelForward, DocumentRequest, DocumentReply, QuotaAsk,
+                 QuotaGrant, QuotaHandover>;
 
 /// Protocol versions that this release supports; links use the highest common
 /// one.
--- a/banyanloft/mesh/forwarder.cc
+++ b/banyanloft/mesh/forwarder.cc
@@ -77,11 +77,47 @@
   pending.request = std::move(request);
   if (pending.prior_wait_ms > 0)
     counters_.Add("forward_returned_total", pending.service);
-  budget_.OnRequest(now, pending.service);
   counters_.Add("forward_requests_total", pending.service);
+  if (quota_gate_ == nullptr || account == nullptr)
+    return OnQuotaDecision(now, id, QuotaDecision{}, actions);
+  QuotaDecision decision = quota_gate_->Take(now, id, account->name);
+  if (decision.verdict != QuotaDecision::Verdict::kAsk)
+    return OnQuotaDecision(now, id, decision, actions);
+  pending.waits_for_token = true;
+  pending.hedge_at = pending.deadline;
+}
+
+void Forwarder::OnQuotaDecision(TimeMs now, uint64_t id,
+                                const QuotaDecision& decision,
+                                Actions* actions) {
+  auto it = requests_.find(id);
+  if (it == requests_.end()) return;
+  Pending& pending = it->second;
+  pending.waits_for_token = false;
+  if (decision.verdict == QuotaDecision::Verdict::kRefused) {
+    std::string request_id = std::move(pending.request.request_id);
+    requests_.erase(it);
+    return Refuse(id, ErrorKind::kQuotaExceeded, decision.retry_after_ms,
+                  request_id, actions);
+  }
+  pending.token_expires = decision.expires;
+  budget_.OnRequest(now, pending.service);
   StartAttempt(now, id, actions);
 }
 
+/// A request that has certainly not run leaves its token to another one.
+void Forwarder::ReleaseToken(TimeMs now, uint64_t id, const Pending& pending,
+                             const MeshAnswer& answer) {
+  if (quota_gate_ == nullptr || pending.account == nullptr) return;
+  const std::string& account = pending.account->name;
+  if (pending.waits_for_token) {
+    quota_gate_->Remove(account, id);
+  } else if (answer.error && answer.run_state == RunState::kNotRun &&
+             pending.token_expires) {
+    quota_gate_->GiveBack(now, account, *pending.token_expires);
+  }
+}
+
 void Forwarder::StartAttempt(TimeMs now, uint64_t id, Actions* actions) {
   Pending& pending = requests_.at(id);
   const HttpRoute& route = *pending.route;
@@ -279,6 +315,8 @@
     return false;
   }
   counters_.Add("forward_repeats_total", reason);
+  if (quota_gate_ != nullptr && pending.account != nullptr)
+    quota_gate_->Charge(now, pending.account->name);
   return true;
 }
 
@@ -326,6 +364,7 @@
   auto it = requests_.find(id);
   Pending& pending = it->second;
   CancelAttempts(&pending, actions);
+  ReleaseToken(now, id, pending, answer);
   histograms_.Add(answer.error ? "failed_ms" : "answered_ms", pending.route->id,
                   UrgencyOf(pending.priority), now - pending.arrived);
   if (!answer.error) {
@@ -405,6 +444,7 @@
                  {"route", pending.route->id},
                  {"target", MemberName(pending.target)},
                  {"elapsed_ms", std::to_string(now - pending.arrived)}}});
+  if (pending.waits_for_token) ReleaseToken(now, id, pending, MeshAnswer{});
   CancelAttempts(&pending, actions);
   requests_.erase(it);
 }
--- a/banyanloft/mesh/forwarder.h
+++ b/banyanloft/mesh/forwarder.h
@@ -14,6 +14,7 @@
 #include "banyanloft/core/random.h"
 #include "banyanloft/mesh/client_timeout_table.h"
 #include "banyanloft/mesh/mesh_message.h"
+#include "banyanloft/mesh/quota_gate.h"
 #include "banyanloft/mesh/retry_budget.h"
 #include "banyanloft/mesh/route_table.h"
 #include "banyanloft/mesh/target_selector.h"
@@ -103,9 +104,16 @@
   }
   /// Number of members that share the retry budget.
   void SetMembers(size_t members) { budget_.SetMembers(members); }
-  /// Accepts a client's request and sends its first attempt.
+  /// Requests of limited accounts need a token of this gate, which must outlive
+  /// the forwarder.
+  void SetQuotaGate(QuotaGate* gate) { quota_gate_ = gate; }
+  /// Accepts a client's request and sends its first attempt, at once or when
+  /// its account's quota allows it.
   void OnRequest(TimeMs now, uint64_t id, MeshRequest request,
                  Actions* actions);
+  /// Decision on a request that has waited for a token.
+  void OnQuotaDecision(TimeMs now, uint64_t id, const QuotaDecision& decision,
+                       Actions* actions);
   /// Refuses a client's request without accepting it.
   void Refuse(uint64_t id, ErrorKind error, int64_t retry_after_ms,
               const std::string& request_id, Actions* actions);
@@ -168,10 +176,14 @@
     std::optional<HttpResponse> failure;
     ErrorKind last_error = ErrorKind::kNoTarget;
     int64_t retry_after_ms = 0;  ///< Minimum over the targets' refusals.
+    bool waits_for_token = false;
+    std::optional<TimeMs> token_expires;  ///< Set if it took a token.
   };
 
   void RecordLinkLatency(TimeMs now, const Pending& pending,
                          const Attempt& attempt, const ForwardAnswer& answer);
+  void ReleaseToken(TimeMs now, uint64_t id, const Pending& pending,
+                    const MeshAnswer& answer);
   void StartAttempt(TimeMs now, uint64_t id, Actions* actions);
   Attempt EndAttempt(Pending* pending, uint64_t id);
   void CancelAttempts(Pending* pending, Actions* actions);
@@ -190,6 +202,7 @@
   const CandidateDirectory* directory_;
   Random random_;
   RouteTablePtr table_;
+  QuotaGate* quota_gate_ = nullptr;
   WeightSplitter splitter_;
   TargetSelector selector_;
   RetryBudget budget_;
--- a/banyanloft/mesh/mesh_message.h
+++ b/banyanloft/mesh/mesh_message.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "banyanloft/core/digest.h"
 #include "banyanloft/core/error.h"
@@ -103,6 +104,56 @@
   bool only_if_queued = false;
 };
 
+/// Asks the home of client accounts for tokens.
+struct QuotaAsk {
+  struct Item {
+    uint64_t account = 0;  ///< QuotaAccountId() of its name.
+    int needed = 0;        ///< Tokens for requests that wait or surely come.
+    int wanted = 0;        ///< The same and tokens for predicted requests.
+    int spent = 0;     ///< Requests sent without a token since the last answer.
+    int returned = 0;  ///< Tokens of this home that ended without use.
+    bool ends_lease = false;  ///< The daemon has no more use for its lease.
+  };
+  uint64_t sequence = 0;  ///< Unique per sender.
+  std::vector<Item> items;
+};
+
+/// How a daemon answers for an account.
+enum class QuotaStatus : uint8_t {
+  kGranted,  ///< As the home; with 0 tokens if there are none.
+  kNotHome,  ///< Another daemon is the home.
+  kWait,     ///< The home, but leases of the former home may still be in use.
+  kYoung,    ///< Just started; it does not know the home for sure.
+};
+
+/// The answer to a QuotaAsk.
+struct QuotaGrant {
+  struct Item {
+    uint64_t account = 0;
+    QuotaStatus status = QuotaStatus::kGranted;
+    int tokens = 0;
+    int64_t life_ms = 0;  ///< Lifetime of the tokens, from the ask, in ms.
+    /// Tokens per 1000 s that the daemon may use while the home is silent.
+    int64_t lease_permille = 0;
+    int64_t retry_after_ms = 0;  ///< When there will be tokens; 0: there were.
+    int64_t pause_ms = 0;        ///< Until the daemon may ask again, if denied.
+    uint64_t home = 0;  ///< Member that is the home; 0: the sender or unknown.
+  };
+  uint64_t sequence = 0;  ///< Of the ask.
+  std::vector<Item> items;
+};
+
+/// Passes accounts from their former home to the new one.
+struct QuotaHandover {
+  struct Item {
+    uint64_t account = 0;
+    int64_t tokens_permille = 0;    ///< In the bucket, in 1/1000.
+    int64_t reserved_permille = 0;  ///< Leases in use, in tokens per 1000 s.
+    int64_t reserved_ms = 0;        ///< Until these leases end, in ms.
+  };
+  std::vector<Item> items;
+};
+
 /// Requests a peer's configuration if it is newer than `have_version`.
 struct DocumentRequest {
   uint64_t have_version = 0;
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr int64_t kMembershipTickMs = 50;
+constexpr int64_t kQuotaHomeTickMs = 100;
+/// Rounds of asks in one step: to this daemon as the home, which answers at
+/// once, and to the one that it names.
+constexpr int kQuotaAskRounds = 3;
 /// Numbers of members that a new version is announced to: enough in the same
 /// zone to spread it there, and some in any zone.
 constexpr size_t kAnnounceSameZone = 3;
@@ -30,7 +34,8 @@
   kForwarder,
   kRunner,
   kWatchDelay,
-  kSuspicionStore
+  kSuspicionStore,
+  kQuota
 };
 
 uint64_t SeedOf(uint64_t seed, SeedStream stream) {
@@ -61,6 +66,7 @@
 
 void MeshNodeSettings::CopyReloadable(const MeshNodeSettings& next) {
   forwarder.budget = next.forwarder.budget;
+  quota = next.quota;
   runner.heartbeat_ms = next.runner.heartbeat_ms;
   drain_serve_ms = next.drain_serve_ms;
   drain_min_ms = next.drain_min_ms;
@@ -93,15 +99,20 @@
       runner_(settings.runner, SeedOf(settings.seed, SeedStream::kRunner), now),
       suspicion_store_(settings.suspicion_store,
                        SeedOf(settings.seed, SeedStream::kSuspicionStore), now),
+      quota_view_(settings.quota_view, id, now),
+      quota_home_(&quota_view_),
+      quota_gate_(&quota_view_, SeedOf(settings.seed, SeedStream::kQuota), now),
       last_datagram_at_(now) {
   membership_.ReplicateSuspicions(&runner_.Suspects());
+  forwarder_.SetQuotaGate(&quota_gate_);
 }
 
-void MeshNode::ApplySettings(const MeshNodeSettings& next) {
+void MeshNode::ApplySettings(TimeMs now, const MeshNodeSettings& next) {
   assert(!draining_);
   settings_.CopyReloadable(next);
   forwarder_.ApplyBudget(settings_.forwarder.budget);
   runner_.SetHeartbeat(settings_.runner.heartbeat_ms);
+  if (config_.Table()) ApplyQuotaLimits(now);
 }
 
 void MeshNode::OnRequest(TimeMs now, uint64_t request, MeshRequest message,
@@ -115,6 +126,7 @@
     forwarder_.OnRequest(now, request, std::move(message), &list);
   }
   DispatchForwarder(now, std::move(list), actions);
+  SendQuotaAsks(now, actions);
 }
 
 bool MeshNode::RefusesNew(TimeMs now) const {
@@ -186,7 +198,7 @@
         SendPeer{link, kHighestRank, config_.OnDocumentRequest(*ask)});
   } else if (auto* document = std::get_if<DocumentReply>(&message)) {
     config_.OnDocument(*document, &changes);
-  } else {
+  } else if (!OnQuotaMessage(now, link, message, actions)) {
     counters_.Add("peer_messages_unexpected_total");
   }
   DispatchForwarder(now, std::move(requests), actions);
@@ -321,6 +333,10 @@
   BackendRunner::Actions list;
   runner_.OnProcessSuspended(now, &list);
   DispatchRunner(now, std::move(list), actions);
+  // Other daemons may have used these quotas meanwhile.
+  quota_gate_.DropTokens(now);
+  quota_home_.Clear();
+  quota_view_.Restart(now);
 }
 
 void MeshNode::BeginDrain(TimeMs now, Actions* actions) {
@@ -371,6 +387,7 @@
   BackendRunner::Actions runs;
   runner_.Tick(now, &runs);
   DispatchRunner(now, std::move(runs), actions);
+  if (HasQuotas()) TickQuotas(now, actions);
   if (now >= next_membership_tick_) {
     next_membership_tick_ = now + kMembershipTickMs;
     std::vector<DatagramOut> datagrams;
@@ -565,6 +582,7 @@
       actions->push_back(SendPeer{pull->link, kHighestRank, pull->request});
     } else if (auto* adopted = std::get_if<TableAdopted>(&action)) {
       forwarder_.SetTable(std::move(adopted->table));
+      ApplyQuotaLimits(now);
       ReleaseBuffered(now, actions);
       AnnounceVersion(now, actions);
       announcement_due_ = true;
@@ -575,6 +593,100 @@
   }
 }
 
+void MeshNode::ApplyQuotaLimits(TimeMs now) {
+  QuotaLimits next(settings_.quota, config_.Table()->Config());
+  if (!HasQuotas() && !next.Empty()) quota_view_.Begin(now);
+  quota_home_.SetLimits(now, nullptr);
+  quota_limits_ = std::move(next);
+  quota_home_.SetLimits(now, &quota_limits_);
+  quota_gate_.SetLimits(&quota_limits_);
+  if (HasQuotas()) UpdateQuotaView(now);
+}
+
+void MeshNode::UpdateQuotaView(TimeMs now) {
+  std::vector<QuotaMember> members;
+  for (const auto& [id, record] : membership_.Others()) {
+    QuotaMember member;
+    member.id = id;
+    member.gone = record.state == MemberState::kGone;
+    member.reachable =
+        !member.gone && record.health != MemberHealth::kUnreachable;
+    member.suspect = record.health == MemberHealth::kSuspect;
+    member.draining = record.state == MemberState::kDraining;
+    members.push_back(member);
+  }
+  bool complete = membership_.IsStable(now) && membership_.AliveCount() > 1;
+  size_t known_at_least =
+      complete ? 0 : rendezvous_client_.ObservedLoad().members;
+  quota_view_.SetDraining(now,
+                          membership_.Self().state == MemberState::kDraining);
+  quota_view_.Update(now, members, known_at_least);
+}
+
+void MeshNode::TickQuotas(TimeMs now, Actions* actions) {
+  if (now >= next_quota_tick_) {
+    next_quota_tick_ = now + kQuotaHomeTickMs;
+    UpdateQuotaView(now);
+    for (QuotaHome::SendHandover& send : quota_home_.Tick(now)) {
+      actions->push_back(
+          SendPeer{LinkOf(send.to), kHighestRank, std::move(send.handover)});
+    }
+  }
+  QuotaOutcome outcome;
+  quota_gate_.Tick(now, &outcome);
+  DispatchQuota(now, std::move(outcome), actions);
+  SendQuotaAsks(now, actions);
+}
+
+/// Sends the asks that are due. Those to this daemon itself are answered at
+/// once.
+void MeshNode::SendQuotaAsks(TimeMs now, Actions* actions) {
+  for (int round = 0; round < kQuotaAskRounds; ++round) {
+    QuotaOutcome outcome;
+    std::vector<QuotaGate::SendAsk> asks = quota_gate_.Flush(now, &outcome);
+    bool done = asks.empty();
+    for (QuotaGate::SendAsk& send : asks) {
+      if (send.home == id_) {
+        QuotaGrant grant = quota_home_.OnAsk(now, id_, send.ask);
+        quota_gate_.OnGrant(now, grant, &outcome);
+      } else {
+        actions->push_back(
+            SendPeer{LinkOf(send.home), kHighestRank, std::move(send.ask)});
+      }
+    }
+    DispatchQuota(now, std::move(outcome), actions);
+    if (done) return;
+  }
+}
+
+void MeshNode::DispatchQuota(TimeMs now, QuotaOutcome outcome,
+                             Actions* actions) {
+  Forwarder::Actions list;
+  for (const QuotaOutcome::Request& request : outcome.requests)
+    forwarder_.OnQuotaDecision(now, request.id, request.decision, &list);
+  for (LogRecord& record : outcome.logs) list.push_back(std::move(record));
+  DispatchForwarder(now, std::move(list), actions);
+}
+
+/// Returns whether the message concerns quotas.
+bool MeshNode::OnQuotaMessage(TimeMs now, const std::string& link,
+                              const PeerMessage& message, Actions* actions) {
+  if (const auto* ask = std::get_if<QuotaAsk>(&message)) {
+    QuotaGrant grant = quota_home_.OnAsk(now, FastHash(link), *ask);
+    actions->push_back(SendPeer{link, kHighestRank, std::move(grant)});
+  } else if (const auto* grant = std::get_if<QuotaGrant>(&message)) {
+    QuotaOutcome outcome;
+    quota_gate_.OnGrant(now, *grant, &outcome);
+    DispatchQuota(now, std::move(outcome), actions);
+    SendQuotaAsks(now, actions);
+  } else if (const auto* handover = std::get_if<QuotaHandover>(&message)) {
+    quota_home_.OnHandover(now, *handover);
+  } else {
+    return false;
+  }
+  return true;
+}
+
 void MeshNode::AnnounceVersion(TimeMs now, Actions* actions) {
   for (const Peer& peer : RandomPeers(&membership_, settings_.zone,
                                       kAnnounceSameZone, kAnnounceAnyZone)) {
@@ -634,7 +746,8 @@
 std::vector<const Counters*> MeshNode::AllCounters() const {
   return {&membership_.Counts(),      &config_.Counts(),
           &forwarder_.Counts(),       &runner_.Counts(),
-          &suspicion_store_.Counts(), &counters_};
+          &suspicion_store_.Counts(), &quota_gate_.Counts(),
+          &quota_home_.Counts(),      &counters_};
 }
 
 std::vector<const Histograms*> MeshNode::AllHistograms() const {
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -13,6 +13,8 @@
 #include "banyanloft/mesh/backend_runner.h"
 #include "banyanloft/mesh/config_follower.h"
 #include "banyanloft/mesh/forwarder.h"
+#include "banyanloft/mesh/quota_gate.h"
+#include "banyanloft/mesh/quota_home.h"
 #include "banyanloft/mesh/startup_buffer.h"
 #include "banyanloft/mesh/suspicion_store.h"
 #include "banyanloft/store/platform_message.h"
@@ -61,12 +63,15 @@
   ForwarderSettings forwarder;
   BackendRunnerSettings runner;
   SuspicionStoreSettings suspicion_store;
+  QuotaSettings quota;
+  QuotaViewSettings quota_view;
 
   /// Sets drain_max_ms and drain_write_max_ms, and limits the earlier steps of
   /// a planned stop so that they fit into it.
   void SetDrainLimit(int64_t max_ms);
-  /// Copies the settings that need no restart: the retry budget, the steps of a
-  /// planned stop and the period of the backend server's reports.
+  /// Copies the settings that need no restart: the retry budget, the bound on
+  /// quotas, the steps of a planned stop and the period of the backend server's
+  /// reports.
   void CopyReloadable(const MeshNodeSettings& next);
 };
 
@@ -114,7 +119,7 @@
   void OnProcessSuspended(TimeMs now, int64_t paused_ms, Actions* actions);
   /// Applies the settings that need no restart. Must not be called during a
   /// planned stop, whose steps would change while it is in progress.
-  void ApplySettings(const MeshNodeSettings& next);
+  void ApplySettings(TimeMs now, const MeshNodeSettings& next);
   /// Starts a planned stop: not ready from now on, keeps serving for a while,
   /// then emits ReadyToExit.
   void BeginDrain(TimeMs now, Actions* actions);
@@ -133,6 +138,8 @@
   const Membership& Members() const { return membership_; }
   const BackendRunner& Runner() const { return runner_; }
   const Forwarder& RequestForwarder() const { return forwarder_; }
+  const QuotaGate& Quotas() const { return quota_gate_; }
+  const QuotaHome& QuotasOfHome() const { return quota_home_; }
   std::vector<const Counters*> AllCounters() const;
   std::vector<const Histograms*> AllHistograms() const;
   /// Time since the store was last known to hold no newer configuration, in ms;
@@ -155,6 +162,16 @@
                       Actions* actions);
   void SendDatagrams(TimeMs now, std::vector<DatagramOut> list,
                      Actions* actions);
+  /// Whether the configuration limits any account. Otherwise nothing of the
+  /// quotas runs.
+  bool HasQuotas() const { return !quota_limits_.Empty(); }
+  void ApplyQuotaLimits(TimeMs now);
+  void UpdateQuotaView(TimeMs now);
+  void TickQuotas(TimeMs now, Actions* actions);
+  void SendQuotaAsks(TimeMs now, Actions* actions);
+  void DispatchQuota(TimeMs now, QuotaOutcome outcome, Actions* actions);
+  bool OnQuotaMessage(TimeMs now, const std::string& link,
+                      const PeerMessage& message, Actions* actions);
   void AnnounceVersion(TimeMs now, Actions* actions);
   /// Sets the configuration version and its age in a datagram.
   void FillVersion(TimeMs now, Datagram* datagram) const;
@@ -188,6 +205,11 @@
   Forwarder forwarder_;
   BackendRunner runner_;
   SuspicionStore suspicion_store_;
+  QuotaLimits quota_limits_;
+  QuotaView quota_view_;
+  QuotaHome quota_home_;
+  QuotaGate quota_gate_;
+  TimeMs next_quota_tick_;
   bool draining_ = false;
   bool exit_sent_ = false;
   bool queued_refused_ = false;
--- a/banyanloft/mesh/settings_change.cc
+++ b/banyanloft/mesh/settings_change.cc
@@ -40,6 +40,11 @@
   applied.Add("retry_budget_window_ms", budget.window_ms,
               next_budget.window_ms);
   applied.Add("retry_budget_slack", budget.slack, next_budget.slack);
+  applied.Add("quota_window_ms", before.quota.window_ms, after.quota.window_ms);
+  applied.Add("quota_overage", std::to_string(before.quota.overage),
+              std::to_string(after.quota.overage));
+  applied.Add("quota_slack", std::to_string(before.quota.slack),
+              std::to_string(after.quota.slack));
   applied.Add("drain_max_ms", before.drain_max_ms, after.drain_max_ms);
   applied.Add("heartbeat_ms", before.runner.heartbeat_ms,
               after.runner.heartbeat_ms);
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -313,7 +313,7 @@
   }
   const SidecarSettings& next = *ValueOf(read);
   SettingsChange change = CompareSettings(settings_, next);
-  node_->ApplySettings(next.node);
+  node_->ApplySettings(clock_.Now(), next.node);
   settings_.node.CopyReloadable(next.node);
   Log(LogLevel::kInfo, "settings_reloaded",
       {{"cause", cause},
--- a/standins/mesh_fleet.cc
+++ b/standins/mesh_fleet.cc
@@ -18,10 +18,13 @@
 /// Routes to both services, whatever the document's text.
 class FixedReader final : public ConfigurationReader {
  public:
+  explicit FixedReader(std::vector<ClientAccount> accounts)
+      : accounts_(std::move(accounts)) {}
   Result<RouteConfiguration> ReadConfiguration(
       const std::string&) const override {
     RouteConfiguration out;
     out.version = 1;
+    out.accounts = accounts_;
     for (const char* service : kServices) {
       std::string prefix = fmt::format("/{}/", service);
       out.services[service] = {service, 100};
@@ -42,6 +45,9 @@
     }
     return out;
   }
+
+ private:
+  std::vector<ClientAccount> accounts_;
 };
 
 }  // namespace
@@ -49,7 +55,7 @@
 MeshFleet::MeshFleet(const MeshFleetSettings& settings)
     : settings_(settings),
       random_(settings.seed),
-      reader_(std::make_unique<FixedReader>()) {
+      reader_(std::make_unique<FixedReader>(settings.accounts)) {
   PlatformCall write;
   write.type = PlatformCall::Type::kWrite;
   write.key = settings_.node.config.key;
@@ -178,7 +184,7 @@
 }
 
 uint64_t MeshFleet::Request(size_t index, const std::string& target,
-                            int64_t timeout_ms) {
+                            int64_t timeout_ms, const std::string& api_key) {
   uint64_t number = next_request_++;
   MeshRequest request;
   request.request_id = fmt::format("r-{}", number);
@@ -186,6 +192,7 @@
   request.method = "GET";
   request.host = kHost;
   request.target = target;
+  request.api_key = api_key;
   Invoke(index, instances_[index].daemon_start,
          [&](MeshNode* node, MeshNode::Actions* actions) {
            node->OnRequest(Now(), number, std::move(request), actions);
@@ -231,6 +238,10 @@
 }
 
 void MeshFleet::SendTo(size_t from, const SendPeer& send) {
+  bool quota = std::holds_alternative<QuotaAsk>(send.message) ||
+               std::holds_alternative<QuotaGrant>(send.message) ||
+               std::holds_alternative<QuotaHandover>(send.message);
+  if (quota) ++quota_messages_;
   std::optional<size_t> to = IndexOf(send.link);
   bool reached = to && Alive(*to) && Connected(from, *to);
   if (!reached) {
--- a/standins/mesh_fleet.h
+++ b/standins/mesh_fleet.h
@@ -28,6 +28,9 @@
   /// A crashed backend server does not close its connections: requests get no
   /// response until their deadline.
   bool silent_crashes = false;
+  /// Client accounts of the configuration; if there are any, requests need an
+  /// API key.
+  std::vector<ClientAccount> accounts;
   uint64_t seed = 1;
   MeshNodeSettings node;  ///< Template; addresses, zone and seed are filled in.
 };
@@ -71,7 +74,8 @@
   void Advance(int64_t ms) { events_.Run(ms); }
   /// Sends a request to the daemon of an instance; returns its number. Dropped
   /// without an answer if the daemon does not run.
-  uint64_t Request(size_t index, const std::string& target, int64_t timeout_ms);
+  uint64_t Request(size_t index, const std::string& target, int64_t timeout_ms,
+                   const std::string& api_key = "");
 
   TimeMs Now() const { return events_.Now(); }
   size_t Size() const { return instances_.size(); }
@@ -89,6 +93,8 @@
   /// Number of store calls, including failed ones.
   uint64_t StoreCalls() const { return store_calls_; }
   uint64_t DatagramsSent() const { return datagrams_; }
+  /// Messages about quotas between daemons.
+  uint64_t QuotaMessages() const { return quota_messages_; }
   /// Whether a request with this target crashes the backend server.
   std::function<bool(const std::string& target)> crashes_server;
   /// Called with each log record.
@@ -147,6 +153,7 @@
   bool store_unavailable_ = false;
   uint64_t store_calls_ = 0;
   uint64_t datagrams_ = 0;
+  uint64_t quota_messages_ = 0;
   uint64_t next_request_ = 1;
   std::vector<Run> runs_;
   std::map<uint64_t, Answered> answers_;
