--- a/banyanloft/links/link_hub.cc
+++ b/banyanloft/links/link_hub.cc
@@ -247,8 +247,8 @@
                          PeerMessage message) {
   LinkPtr link = stopped_ ? nullptr : FindLink(peer);
   if (link == nullptr) link = Connect(peer);
-  EncodedMessage bytes = EncodePeerMessageInParts(
-      message, link == nullptr ? 0 : link->features);
+  EncodedMessage bytes =
+      EncodePeerMessageInParts(message, link == nullptr ? 0 : link->features);
   uint64_t tag = next_tag_++;
   if (link == nullptr || !link->out.Push(rank_index, tag, std::move(bytes))) {
     counters_.Add("link_refusals_total",
--- a/banyanloft/mesh/admission_controller.cc
+++ b/banyanloft/mesh/admission_controller.cc
@@ -478,10 +478,9 @@
   ++running_by_class_[started];
   exclusive_running_ += work.exclusive ? 1 : 0;
   if (!work.account.empty()) shares_.Charge(now, work.account, run_ms);
-  running_.emplace(work.id,
-                   RunningWork{work.urgency, work.aim_left_ms, work.route,
-                               work.exclusive, now, work.cost_ms,
-                                work.account, run_ms});
+  running_.emplace(work.id, RunningWork{work.urgency, work.aim_left_ms,
+                                        work.route, work.exclusive, now,
+                                        work.cost_ms, work.account, run_ms});
   AdmissionDecision start;
   start.id = work.id;
   decisions->push_back(start);
--- a/banyanloft/mesh/admission_controller.h
+++ b/banyanloft/mesh/admission_controller.h
@@ -76,7 +76,7 @@
   /// Expected run time as reported with the load, in ms; negative: that of the
   /// route.
   int64_t cost_ms = -1;
-  std::string account;     ///< Client account; empty if none.
+  std::string account;  ///< Client account; empty if none.
   /// How far the account was above its share when offered (see
   /// AccountShares::TierOf), set by the controller. Sorted by this first.
   int tier = 0;
