--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -15,6 +15,7 @@
 #include "banyanloft/mesh/forwarder.h"
 #include "banyanloft/mesh/quota_gate.h"
 #include "banyanloft/mesh/quota_home.h"
+#include "banyanloft/mesh/link_meter.h"
 #include "banyanloft/mesh/startup_buffer.h"
 #include "banyanloft/mesh/suspicion_store.h"
 #include "banyanloft/store/platform_message.h"
@@ -140,6 +141,8 @@
   const Forwarder& RequestForwarder() const { return forwarder_; }
   const QuotaGate& Quotas() const { return quota_gate_; }
   const QuotaHome& QuotasOfHome() const { return quota_home_; }
+  /// Expected delay of this daemon's outgoing link, in ms.
+  int64_t LinkDelayMs(TimeMs now) const { return link_.DelayMs(now); }
   std::vector<const Counters*> AllCounters() const;
   std::vector<const Histograms*> AllHistograms() const;
   /// Time since the store was last known to hold no newer configuration, in ms;
@@ -210,6 +213,7 @@
   QuotaHome quota_home_;
   QuotaGate quota_gate_;
   TimeMs next_quota_tick_;
+  LinkMeter link_;
   bool draining_ = false;
   bool exit_sent_ = false;
   bool queued_refused_ = false;
