--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -287,7 +287,7 @@
   for (const QuotaGrant::Item& item : m.items) {
     for (Json field :
          {Json(item.account), Json(static_cast<int>(item.status)),
-          Json(item.tokens), Json(item.life_ms), Json(item.lease_permille),
+          Json(item.tokens), Json(item.life_ms), Json(item.lease_ppm),
           Json(item.retry_after_ms), Json(item.pause_ms), Json(item.home)})
       items.push_back(std::move(field));
   }
@@ -304,13 +304,12 @@
     item.status = ReadEnum(&items, QuotaStatus::kYoung);
     item.tokens = items.Int();
     item.life_ms = items.Integer();
-    item.lease_permille = items.Integer();
+    item.lease_ppm = items.Integer();
     item.retry_after_ms = items.Integer();
     item.pause_ms = items.Integer();
     item.home = items.Unsigned();
-    bool valid = item.tokens >= 0 && item.life_ms >= 0 &&
-                 item.lease_permille >= 0 && item.retry_after_ms >= 0 &&
-                 item.pause_ms >= 0;
+    bool valid = item.tokens >= 0 && item.life_ms >= 0 && item.lease_ppm >= 0 &&
+                 item.retry_after_ms >= 0 && item.pause_ms >= 0;
     if (!valid) items.Fail();
     m.items.push_back(item);
   }
--- a/banyanloft/mesh/mesh_message.h
+++ b/banyanloft/mesh/mesh_message.h
@@ -133,8 +133,9 @@
     QuotaStatus status = QuotaStatus::kGranted;
     int tokens = 0;
     int64_t life_ms = 0;  ///< Lifetime of the tokens, from the ask, in ms.
-    /// Tokens per 1000 s that the daemon may use while the home is silent.
-    int64_t lease_permille = 0;
+    /// Part of the account's rate that the daemon may use while the home is
+    /// silent, in millionths. A share, so that it shrinks with the limit.
+    int64_t lease_ppm = 0;
     int64_t retry_after_ms = 0;  ///< When there will be tokens; 0: there were.
     int64_t pause_ms = 0;        ///< Until the daemon may ask again, if denied.
     uint64_t home = 0;  ///< Member that is the home; 0: the sender or unknown.
--- a/banyanloft/mesh/quota_gate.cc
+++ b/banyanloft/mesh/quota_gate.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double kMsPerSecond = 1000.0;
-constexpr double kPermille = 1000.0;
+constexpr double kMillion = 1e6;
 /// Longest time that a request waits for a token, in ms.
 constexpr int64_t kMaxWaitMs = 150;
 /// Time after which the home counts as silent and leases are used, in ms.
@@ -113,12 +113,13 @@
   return true;
 }
 
-bool QuotaGate::TakeLease(TimeMs now, Account* account) {
-  if (!account->home_silent || account->lease_per_s <= 0 ||
+bool QuotaGate::TakeLease(TimeMs now, const QuotaTerms& terms,
+                          Account* account) {
+  if (!account->home_silent || account->lease_share <= 0 ||
       now >= account->lease_until)
     return false;
-  account->lease.Fill(now, account->lease_per_s,
-                      1 + account->lease_per_s * kLeaseBurstSeconds);
+  double rate_per_s = account->lease_share * terms.rate_per_s;
+  account->lease.Fill(now, rate_per_s, 1 + rate_per_s * kLeaseBurstSeconds);
   if (!account->lease.Take()) return false;
   ++account->spent;
   counters_.Add("quota_taken_total", "lease");
@@ -149,7 +150,7 @@
 
 bool QuotaGate::TakeLocal(TimeMs now, const QuotaTerms& terms,
                           Account* account) {
-  return TakeLease(now, account) || TakeOwn(now, terms, account);
+  return TakeLease(now, terms, account) || TakeOwn(now, terms, account);
 }
 
 QuotaDecision QuotaGate::Take(TimeMs now, uint64_t id,
@@ -443,7 +444,7 @@
   account->granted_by = account->asked_home;
   account->answered_at = now;
   account->granted_in_full = item.retry_after_ms == 0;
-  account->lease_per_s = static_cast<double>(item.lease_permille) / kPermille;
+  account->lease_share = static_cast<double>(item.lease_ppm) / kMillion;
   account->lease_until = asked_at + kQuotaLeaseMs;
   account->lease = LocalBucket{0, now};
   ServeWaiting(now, limit->terms, account, out);
@@ -478,7 +479,7 @@
     TickAccount(now, id, limit->terms, &account, out);
     bool idle = account.waiting.empty() && account.held.empty() &&
                 !account.open && !account.due && account.spent == 0 &&
-                account.lease_per_s == 0 && now - account.used_at > kIdleMs;
+                account.lease_share == 0 && now - account.used_at > kIdleMs;
     it = idle ? accounts_.erase(it) : std::next(it);
   }
 }
@@ -511,13 +512,13 @@
     if (!account->waiting.empty()) account->due = true;
   }
   bool idle = now - account->used_at > kLeaseIdleMs;
-  if (account->lease_per_s > 0 && idle && !account->home_silent) {
-    account->lease_per_s = 0;
+  if (account->lease_share > 0 && idle && !account->home_silent) {
+    account->lease_share = 0;
     account->ends_lease = true;
     account->due = true;
   }
-  if (account->lease_per_s > 0 && now >= account->lease_until)
-    account->lease_per_s = 0;
+  if (account->lease_share > 0 && now >= account->lease_until)
+    account->lease_share = 0;
   if (account->spent > 0) account->due = true;
   DropExpired(now, account);
   any_due_ = any_due_ || account->due;
@@ -529,7 +530,7 @@
   for (auto& [id, account] : accounts_) {
     account.held.clear();
     account.open = false;
-    account.lease_per_s = 0;
+    account.lease_share = 0;
     account.own = LocalBucket{0, now};
     if (!account.waiting.empty()) account.due = any_due_ = true;
   }
--- a/banyanloft/mesh/quota_gate.h
+++ b/banyanloft/mesh/quota_gate.h
@@ -117,8 +117,8 @@
     int unused = 0;  ///< Tokens of that home that have ended, not yet reported.
     TimeMs unused_at;
     // Use without an answer.
-    int spent = 0;  ///< Requests without a token, not yet reported.
-    double lease_per_s = 0;
+    int spent = 0;           ///< Requests without a token, not yet reported.
+    double lease_share = 0;  ///< Of the account's rate.
     TimeMs lease_until;
     LocalBucket lease;
     bool home_silent = false;
@@ -132,7 +132,7 @@
   void CountUse(TimeMs now, Account* account);
   void DropExpired(TimeMs now, Account* account);
   bool TakeHeld(TimeMs now, Account* account, TimeMs* expires);
-  bool TakeLease(TimeMs now, Account* account);
+  bool TakeLease(TimeMs now, const QuotaTerms& terms, Account* account);
   bool TakeOwn(TimeMs now, const QuotaTerms& terms, Account* account);
   bool TakeAhead(TimeMs now, Account* account);
   bool TakeLocal(TimeMs now, const QuotaTerms& terms, Account* account);
--- a/banyanloft/mesh/quota_home.cc
+++ b/banyanloft/mesh/quota_home.cc
@@ -8,6 +8,7 @@
 
 constexpr double kMsPerSecond = 1000.0;
 constexpr double kPermille = 1000.0;
+constexpr double kMillion = 1e6;
 /// Time constant of the estimated use of a daemon, in ms.
 constexpr double kUseAverageMs = 1000.0;
 /// Least use of a daemon that gives it a lease, in tokens per second: below, a
@@ -209,7 +210,8 @@
   bucket->lease_sum_per_s += daemon->lease_per_s;
   out->tokens = tokens;
   out->life_ms = terms.life_ms;
-  out->lease_permille = Permille(daemon->lease_per_s);
+  out->lease_ppm = static_cast<int64_t>(
+      std::floor(daemon->lease_per_s / terms.rate_per_s * kMillion));
 }
 
 /// Sets tokens aside for daemons that may be using their leases, from the time
--- a/banyanloft/mesh/quota_view.h
+++ b/banyanloft/mesh/quota_view.h
@@ -30,13 +30,15 @@
   int64_t own_join_ms = 3500;
   /// Time after which the successor of an unreachable home may grant. Failure
   /// detection takes at least 2.5 s; both together exceed the time of a lease.
-  int64_t unreachable_wait_ms = 2500;
+  /// The news of a return take about 2 s and must come before.
+  int64_t unreachable_wait_ms = 3000;
   /// The same for a home that a restart replaced, which takes no time to
   /// detect: the time of a lease.
   int64_t replaced_wait_ms = 5000;
   /// A member that was unreachable counts as live again after this time: homes
-  /// of both sides of a healed partition may still grant.
-  int64_t return_ms = 2500;
+  /// of both sides of a healed partition may still grant, and the partition may
+  /// return before the other side has noticed its end.
+  int64_t return_ms = 5000;
   /// The same for a member that was suspected for longer than this; a false
   /// suspicion is refuted within about a second.
   int64_t long_suspicion_ms = 1500;
