--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -26,6 +26,7 @@
   kCancelForward = 12,
   kDocumentRequest = 13,
   kDocumentReply = 14,
+  kRolloutEvidence = 17,
 };
 
 Json Tagged(MessageTag tag, Json fields) {
@@ -173,10 +174,10 @@
 }
 
 Json Encode(const ForwardRequest& m) {
-  Json fields = Json::array(
-      {m.attempt, m.request_id, m.caller, m.service, m.route, m.idempotent,
-       m.priority, m.aim_left_ms, m.remaining_ms, m.method,
-       BytesValue(m.target), EncodeHeaders(m.headers), BytesValue(m.body)});
+  Json fields = Json::array({m.attempt, m.request_id, m.caller, m.service,
+                             m.route, m.idempotent, m.priority, m.aim_left_ms,
+                             m.remaining_ms, m.method, BytesValue(m.target),
+                             EncodeHeaders(m.headers), BytesValue(m.body)});
   // Left out without an account, so that members without this field understand
   // the message.
   if (!m.account.empty()) fields.push_back(m.account);
@@ -247,6 +248,52 @@
                 Json::array({m.version, BytesValue(m.packed)}));
 }
 
+/// Routes as a flat list: name, sums, and the buckets that are not empty.
+Json Encode(const RolloutEvidence& m) {
+  Json routes = Json::array();
+  for (const auto& [route, sums] : m.routes) {
+    Json buckets = Json::array();
+    for (size_t i = 0; i < kRunTimeBuckets; ++i) {
+      if (sums.run_times[i] == 0) continue;
+      buckets.push_back(i);
+      buckets.push_back(sums.run_times[i]);
+    }
+    routes.push_back(
+        Json::array({route, sums.answers, sums.failures, std::move(buckets)}));
+  }
+  return Tagged(MessageTag::kRolloutEvidence,
+                Json::array({m.reporter, m.service, m.to_version, m.version,
+                             std::move(routes)}));
+}
+
+RolloutEvidence ReadRolloutEvidence(CborReader* r) {
+  RolloutEvidence m;
+  m.reporter = r->Unsigned();
+  m.service = r->String();
+  m.to_version = r->String();
+  m.version = r->String();
+  CborReader routes(r->Next());
+  while (routes.Ok() && !routes.Done()) {
+    CborReader route(routes.Next());
+    RouteEvidence& sums = m.routes[route.String()];
+    sums.answers = route.Unsigned();
+    sums.failures = route.Unsigned();
+    CborReader buckets(route.Next());
+    while (buckets.Ok() && !buckets.Done()) {
+      uint64_t index = buckets.Unsigned();
+      uint64_t count = buckets.Unsigned();
+      if (index < kRunTimeBuckets) {
+        sums.run_times[index] = count;
+      } else {
+        buckets.Fail();
+      }
+    }
+    if (!buckets.Done() || !route.Done()) routes.Fail();
+  }
+  if (!routes.Done()) r->Fail();
+  return m;
+}
+
 KeyAnswer ReadKeyAnswer(CborReader* r) {
   KeyAnswer m;
   m.attempt = r->Unsigned();
@@ -289,6 +336,8 @@
       uint64_t version = r->Unsigned();
       return DocumentReply{version, r->Bytes()};
     }
+    case MessageTag::kRolloutEvidence:
+      return ReadRolloutEvidence(r);
     case MessageTag::kChallenge:
     case MessageTag::kHello:
       break;
@@ -312,9 +361,14 @@
 }
 
 Json Encode(const MemberRecord& m) {
-  return Json::array({m.id, m.zone, m.service, m.link, m.gossip, m.incarnation,
-                      static_cast<int>(m.state), static_cast<int>(m.health),
-                      m.slots, m.suspected_by});
+  Json fields =
+      Json::array({m.id, m.zone, m.service, m.link, m.gossip, m.incarnation,
+                   static_cast<int>(m.state), static_cast<int>(m.health),
+                   m.slots, m.suspected_by});
+  // Left out if not known, so that members without this field understand the
+  // record.
+  if (!m.version.empty()) fields.push_back(m.version);
+  return fields;
 }
 
 MemberRecord ReadMember(const Json& value) {
@@ -330,6 +384,7 @@
   m.health = ReadEnum(&r, MemberHealth::kUnreachable);
   m.slots = r.Int();
   m.suspected_by = r.Unsigned();
+  if (r.Ok() && !r.Done()) m.version = r.String();
   if (!r.Done()) m.id = 0;
   return m;
 }
@@ -378,6 +433,42 @@
   if (!list.Done()) r->Fail();
 }
 
+Json EncodeRollouts(const std::vector<RolloutState>& states) {
+  Json list = Json::array();
+  for (const RolloutState& s : states) {
+    list.push_back(Json::array(
+        {s.service, s.to_version, s.from_version, s.generation, s.revision,
+         static_cast<int>(s.phase), s.sequence, s.decider, s.share_permille,
+         s.trial_servers, s.age_ms, s.duration_ms}));
+  }
+  return list;
+}
+
+std::vector<RolloutState> ReadRollouts(CborReader* r) {
+  std::vector<RolloutState> states;
+  CborReader list(r->Next());
+  while (list.Ok() && !list.Done()) {
+    CborReader item(list.Next());
+    RolloutState s;
+    s.service = item.String();
+    s.to_version = item.String();
+    s.from_version = item.String();
+    s.generation = item.Unsigned();
+    s.revision = item.Unsigned();
+    s.phase = ReadEnum(&item, RolloutPhase::kRemoved);
+    s.sequence = item.Unsigned();
+    s.decider = item.Unsigned();
+    s.share_permille = item.Int();
+    s.trial_servers = item.Int();
+    s.age_ms = item.Integer();
+    s.duration_ms = item.Integer();
+    if (!item.Done()) list.Fail();
+    states.push_back(std::move(s));
+  }
+  if (!list.Done()) r->Fail();
+  return states;
+}
+
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message) {
@@ -389,7 +480,7 @@
   int64_t tag = 0;
   const Json* fields = FieldsOf(value, &tag);
   bool known = tag >= static_cast<int64_t>(MessageTag::kRunRequest) &&
-               tag <= static_cast<int64_t>(MessageTag::kDocumentReply);
+               tag <= static_cast<int64_t>(MessageTag::kRolloutEvidence);
   if (fields == nullptr || !known) return ProtocolError("link message");
   CborReader reader(*fields);
   PeerMessage message = ReadMessage(static_cast<MessageTag>(tag), &reader);
@@ -405,11 +496,13 @@
        d.detail, d.wants_reply, EncodeMembers(d.members),
        EncodeCrashSuspicions(d.crash_suspicions), d.digest});
   bool has_suspicions = d.suspicion_digest != CrashGuard::SuspicionDigest{};
-  if (d.document_generation != 0 || has_suspicions) {
+  bool has_rollouts = d.rollouts.has_value();
+  if (d.document_generation != 0 || has_suspicions || has_rollouts) {
     fields.push_back(d.document_generation);
     fields.push_back(d.document_hash);
   }
-  if (has_suspicions) fields.push_back(d.suspicion_digest);
+  if (has_suspicions || has_rollouts) fields.push_back(d.suspicion_digest);
+  if (has_rollouts) fields.push_back(EncodeRollouts(*d.rollouts));
   std::string payload = ToCbor(fields);
   return KeyedHash(secret, payload) + payload;
 }
@@ -459,6 +552,7 @@
     for (uint64_t& bucket : d.suspicion_digest) bucket = buckets.Unsigned();
     if (!buckets.Done()) r.Fail();
   }
+  if (r.Ok() && !r.Done()) d.rollouts = ReadRollouts(&r);
   if (!r.Done() || !hashes.Done()) return ProtocolError("datagram");
   return d;
 }
--- a/banyanloft/links/peer_message.h
+++ b/banyanloft/links/peer_message.h
@@ -8,6 +8,7 @@
 #include "banyanloft/distribution/distributor.h"
 #include "banyanloft/membership/member.h"
 #include "banyanloft/mesh/mesh_message.h"
+#include "banyanloft/mesh/rollout_evidence.h"
 
 namespace banyanloft {
 
@@ -15,7 +16,8 @@
 using PeerMessage =
     std::variant<RunRequest, RunAnswer, CancelRun, KeyRequest, KeyAnswer,
                  PullRequest, PullReply, ForwardRequest, ForwardAnswer,
-                 CancelForward, DocumentRequest, DocumentReply>;
+                 CancelForward, DocumentRequest, DocumentReply,
+                 RolloutEvidence>;
 
 /// Protocol versions that this release supports; links use the highest common
 /// one.
--- a/banyanloft/membership/member.h
+++ b/banyanloft/membership/member.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "banyanloft/admission/crash_guard.h"
 #include "banyanloft/core/time.h"
+#include "banyanloft/membership/rollout_state.h"
 #include "banyanloft/run_once/key.h"
 
 namespace banyanloft {
@@ -32,6 +34,7 @@
   int slots = 20;
   MemberId suspected_by = 0;  ///< With kSuspect: the member whose probe failed;
                               ///< kept when forwarded.
+  std::string version;        ///< Of the backend server; empty if not known.
 };
 
 /// Initial record of a member whose backend server is not known yet.
@@ -90,6 +93,9 @@
   /// not 0, so that members without this field understand all other datagrams.
   uint64_t document_generation = 0;
   uint64_t document_hash = 0;
+  /// Roll-outs that the sender knows. Absent if it has not learned the orders
+  /// of the store, and in fleets without roll-outs.
+  std::optional<std::vector<RolloutState>> rollouts;
 };
 
 /// A datagram and the gossip address to send it to.
--- a/banyanloft/membership/membership.cc
+++ b/banyanloft/membership/membership.cc
@@ -78,13 +78,15 @@
 }
 
 void Membership::Announce(TimeMs now, MemberState state,
-                          const std::string& service, int slots) {
-  bool same =
-      self_.state == state && self_.service == service && self_.slots == slots;
+                          const std::string& service, int slots,
+                          const std::string& version) {
+  bool same = self_.state == state && self_.service == service &&
+              self_.slots == slots && self_.version == version;
   if (same || self_.state == MemberState::kGone) return;
   self_.state = state;
   self_.service = service;
   self_.slots = slots;
+  self_.version = version;
   ++self_.incarnation;
   InvalidateLists();
   QueueUpdate(self_);
--- a/banyanloft/membership/membership.h
+++ b/banyanloft/membership/membership.h
@@ -81,7 +81,7 @@
   void ContactUnknown(const std::vector<std::string>& gossip_addresses);
   /// Changes the record of this process and disseminates it.
   void Announce(TimeMs now, MemberState state, const std::string& service,
-                int slots);
+                int slots, const std::string& version = "");
   /// Handles a datagram; appends replies to `out`.
   void OnDatagram(TimeMs now, const Datagram& datagram,
                   std::vector<DatagramOut>* out);
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -124,6 +124,7 @@
       break;
   }
   if (work.request.service != Service()) return ErrorKind::kNoTarget;
+  if (version_refused_) return ErrorKind::kNoTarget;
   bool crashes =
       crash_guard_.Check(now, work.fingerprint) == CrashGuard::Verdict::kRefuse;
   if (crashes) return ErrorKind::kCrashSuspect;
@@ -258,6 +259,8 @@
       actions->push_back(SpreadCrashSuspicions{std::move(cleared), false});
   }
 
+  if (observes_runs_)
+    Observe(now, work, result.type, result.response.status, actions);
   ForwardAnswer answer;
   answer.arrived = result.type != RunResult::Type::kNotSent &&
                    result.type != RunResult::Type::kInvalid;
@@ -328,6 +331,52 @@
   ApplyDecisions(now, decisions, actions);
 }
 
+void BackendRunner::SetVersionRefused(bool refused, Actions* actions,
+                                      TimeMs now) {
+  if (refused == version_refused_) return;
+  version_refused_ = refused;
+  counters_.Add("rollout_refusal_changes_total", refused ? "on" : "off");
+  if (!refused) return;
+  AdmissionController::Decisions decisions;
+  admission_.RefuseAll(ErrorKind::kNoTarget, &decisions);
+  ApplyDecisions(now, decisions, actions);
+}
+
+/// Tells how a run ended as far as it says something about the server's
+/// version: not if the request never reached it. A cancelled run took at least
+/// the time until then.
+void BackendRunner::Observe(TimeMs now, const Work& work, RunResult::Type type,
+                            int status, Actions* actions) const {
+  constexpr int kServerError = 500;
+  using Outcome = RolloutRecorder::Outcome;
+  RunObserved observed;
+  switch (type) {
+    case RunResult::Type::kNotSent:
+    case RunResult::Type::kMisplaced:
+    case RunResult::Type::kInvalid:
+      return;
+    case RunResult::Type::kAnswered:
+      if (status >= kServerError) observed.outcome = Outcome::kFailure;
+      break;
+    case RunResult::Type::kCancelled:
+      break;
+    case RunResult::Type::kRejected:
+    case RunResult::Type::kBroken:
+      observed.outcome = Outcome::kBroken;
+      break;
+    case RunResult::Type::kGarbled:
+    case RunResult::Type::kOversized:
+    case RunResult::Type::kTimeout:
+      observed.outcome = Outcome::kFailure;
+      break;
+  }
+  observed.route = work.request.route;
+  observed.run_ms = now - work.started;
+  observed.warm =
+      work.started >= registry_.ReportedAt() + registry_.Last().warm_up_ms;
+  actions->push_back(std::move(observed));
+}
+
 void BackendRunner::OnPeerLost(TimeMs now, const std::string& link,
                                Actions* actions) {
   std::vector<uint64_t> attempts;
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -16,6 +16,7 @@
 #include "banyanloft/mesh/backend_notice.h"
 #include "banyanloft/mesh/instance_registry.h"
 #include "banyanloft/mesh/mesh_message.h"
+#include "banyanloft/mesh/rollout_evidence.h"
 
 namespace banyanloft {
 
@@ -74,6 +75,13 @@
   int priority = 0;
   ForwardAnswer answer;
 };
+/// Event: a run ended on the backend server; only if ObserveRuns() was called.
+struct RunObserved {
+  std::string route;
+  RolloutRecorder::Outcome outcome = RolloutRecorder::Outcome::kSuccess;
+  int64_t run_ms = 0;
+  bool warm = true;  ///< The server did not announce a slow start.
+};
 /// Action: gossip crash suspicions to the fleet.
 struct SpreadCrashSuspicions {
   std::vector<CrashSuspicion> suspicions;
@@ -81,7 +89,7 @@
 };
 using BackendRunnerAction =
     std::variant<StartRun, CancelRunOnBackend, ProbeInstance, SendForwardAnswer,
-                 SpreadCrashSuspicions, LogRecord>;
+                 SpreadCrashSuspicions, RunObserved, LogRecord>;
 
 /// How a run on the backend server ended.
 struct RunResult {
@@ -140,6 +148,11 @@
   void StopAccepting() { accepting_ = false; }
   /// Refuses all queued requests because this process stops soon.
   void RefuseQueued(TimeMs now, Actions* actions);
+  /// Emits RunObserved from now on.
+  void ObserveRuns() { observes_runs_ = true; }
+  /// While set, all requests are refused, also queued ones: the version of the
+  /// backend server is not allowed to run them.
+  void SetVersionRefused(bool refused, Actions* actions, TimeMs now);
   /// The link to a peer was lost: cancels all of its attempts.
   void OnPeerLost(TimeMs now, const std::string& link, Actions* actions);
   /// The backend server sent a report.
@@ -203,6 +216,8 @@
   void Answer(TimeMs now, const Work& work, ForwardAnswer answer,
               Actions* actions);
   void Drop(TimeMs now, uint64_t id, Actions* actions);
+  void Observe(TimeMs now, const Work& work, RunResult::Type type, int status,
+               Actions* actions) const;
   void OnInstanceChange(TimeMs now, InstanceRegistry::Change change,
                         const char* source, Actions* actions);
   void MarkInstanceUnreachable(TimeMs now, Actions* actions);
@@ -235,6 +250,8 @@
   AdmissionController admission_;
   CrashGuard crash_guard_;
   bool accepting_ = true;
+  bool observes_runs_ = false;
+  bool version_refused_ = false;
   std::optional<TimeMs> stop_at_;  ///< End of the planned stop, if any.
   uint64_t next_work_ = 1;
   std::map<uint64_t, Work> works_;
--- a/banyanloft/mesh/config_follower.h
+++ b/banyanloft/mesh/config_follower.h
@@ -12,6 +12,7 @@
 #include "banyanloft/core/time.h"
 #include "banyanloft/membership/rendezvous.h"
 #include "banyanloft/mesh/mesh_message.h"
+#include "banyanloft/mesh/rollout_order.h"
 #include "banyanloft/mesh/route_table.h"
 #include "banyanloft/store/platform_message.h"
 
@@ -24,6 +25,15 @@
   /// Parses a document; any defect in it is an error.
   virtual Result<RouteConfiguration> ReadConfiguration(
       const std::string& text) const = 0;
+  /// Parses an order of a roll-out and its status.
+  virtual Result<RolloutOrder> ReadRollout(const PlatformObject&) const {
+    return Error{ErrorKind::kInvalidConfiguration, "no roll-outs here"};
+  }
+  /// Formats the status of a roll-out.
+  virtual std::string WriteRolloutStatus(RolloutPhase,
+                                         const std::string&) const {
+    return "";
+  }
 };
 
 /// A peer's announcement of its active version.
--- a/banyanloft/mesh/forwarder.cc
+++ b/banyanloft/mesh/forwarder.cc
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <unordered_set>
 
+#include "banyanloft/core/digest.h"
+
 namespace banyanloft {
 namespace {
 
@@ -95,6 +97,11 @@
   }
   std::vector<TargetCandidate> candidates =
       directory_->CandidatesOf(pending.service);
+  // Only first attempts try the new version of a roll-out.
+  std::optional<uint64_t> draw;
+  if (pending.arrivals + pending.refusals == 0 && pending.open.empty())
+    draw = FastHash(pending.request.request_id, next_attempt_);
+  directory_->RestrictByRollout(pending.service, draw, &candidates);
   TargetQuery query;
   query.route = route.id;
   query.urgency = UrgencyOf(pending.priority);
--- a/banyanloft/mesh/forwarder.h
+++ b/banyanloft/mesh/forwarder.h
@@ -64,6 +64,13 @@
   /// Whether a request is refused by all targets, because it has crashed
   /// several.
   virtual bool IsContained(TimeMs now, const MeshRequest& request) const = 0;
+  /// Removes the candidates whose version the service's roll-out does not
+  /// allow. `draw`: a uniform number if the attempt may try the new version.
+  virtual void RestrictByRollout(
+      const std::string& service, std::optional<uint64_t> draw,
+      std::vector<TargetCandidate>* candidates) const {
+    (void)service, (void)draw, (void)candidates;
+  }
 };
 
 /// Sends the final answer to a client.
--- a/banyanloft/mesh/instance_registry.cc
+++ b/banyanloft/mesh/instance_registry.cc
@@ -83,7 +83,8 @@
     return Change::kStarted;
   }
   bool same = was_known && state_ == state_before &&
-              before.slots == last_.slots && before.service == last_.service;
+              before.slots == last_.slots && before.service == last_.service &&
+              before.version == last_.version;
   return same ? Change::kNone : Change::kUpdated;
 }
 
--- a/banyanloft/mesh/instance_registry.h
+++ b/banyanloft/mesh/instance_registry.h
@@ -19,6 +19,7 @@
   bool draining = false;
   /// Remaining time for which it runs slowly after its start, in ms.
   int64_t warm_up_ms = 0;
+  std::string version;  ///< Of its program; empty: not given.
 };
 
 /// State of the backend server on this instance.
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -30,7 +30,8 @@
   kForwarder,
   kRunner,
   kWatchDelay,
-  kSuspicionStore
+  kSuspicionStore,
+  kRollouts
 };
 
 uint64_t SeedOf(uint64_t seed, SeedStream stream) {
@@ -93,8 +94,11 @@
       runner_(settings.runner, SeedOf(settings.seed, SeedStream::kRunner), now),
       suspicion_store_(settings.suspicion_store,
                        SeedOf(settings.seed, SeedStream::kSuspicionStore), now),
+      rollouts_(settings.rollouts, id,
+                SeedOf(settings.seed, SeedStream::kRollouts), now, reader),
       last_datagram_at_(now) {
   membership_.ReplicateSuspicions(&runner_.Suspects());
+  if (rollouts_.Enabled()) runner_.ObserveRuns();
 }
 
 void MeshNode::ApplySettings(const MeshNodeSettings& next) {
@@ -186,6 +190,8 @@
         SendPeer{link, kHighestRank, config_.OnDocumentRequest(*ask)});
   } else if (auto* document = std::get_if<DocumentReply>(&message)) {
     config_.OnDocument(*document, &changes);
+  } else if (auto* evidence = std::get_if<RolloutEvidence>(&message)) {
+    rollouts_.OnEvidence(now, *evidence);
   } else {
     counters_.Add("peer_messages_unexpected_total");
   }
@@ -229,6 +235,13 @@
 void MeshNode::OnDatagram(TimeMs now, const Datagram& datagram,
                           Actions* actions) {
   last_datagram_at_ = now;
+  // Before the members that the datagram tells of: their versions may not be
+  // allowed.
+  if (datagram.rollouts) {
+    RolloutAgent::Actions learned;
+    rollouts_.OnStates(now, *datagram.rollouts, &learned);
+    DispatchRollouts(now, std::move(learned), actions);
+  }
   std::vector<DatagramOut> out;
   membership_.OnDatagram(now, datagram, &out);
   SendDatagrams(now, std::move(out), actions);
@@ -278,6 +291,11 @@
                               suspicion_store_.OnReply(now, reply), &runs);
     return DispatchRunner(now, std::move(runs), actions);
   }
+  if (rollouts_.IsPending(reply)) {
+    RolloutAgent::Actions list;
+    rollouts_.OnStore(now, reply, &list);
+    return DispatchRollouts(now, std::move(list), actions);
+  }
   if (reply.id != config_call_) return;
   config_call_ = 0;
   ConfigFollower::Actions changes;
@@ -359,7 +377,8 @@
   }
   bool stopping = draining_ && now - drain_began_ >= settings_.drain_serve_ms;
   if (stopping) state = MemberState::kDraining;
-  membership_.Announce(now, state, runner_.Service(), runner_.Instance().slots);
+  membership_.Announce(now, state, runner_.Service(), runner_.Instance().slots,
+                       rollouts_.Enabled() ? runner_.Instance().version : "");
 }
 
 void MeshNode::Tick(TimeMs now, Actions* actions) {
@@ -398,6 +417,35 @@
   std::optional<PlatformCall> call = suspicion_store_.Tick(
       now, runner_.Suspects(), watching, watching && IsPartitioned());
   if (call) suspicion_store_.OnSent(CallStore(std::move(*call), actions));
+  if (!rollouts_.Enabled()) return;
+  RolloutAgent::Actions list;
+  rollouts_.Tick(now, membership_, watching, &list);
+  DispatchRollouts(now, std::move(list), actions);
+}
+
+void MeshNode::DispatchRollouts(TimeMs now, RolloutAgent::Actions list,
+                                Actions* actions) {
+  bool spread = false;
+  for (RolloutAction& action : list) {
+    if (auto* call = std::get_if<RolloutStoreCall>(&action)) {
+      PlatformCall sent = call->call;
+      rollouts_.OnSent(sent, CallStore(std::move(call->call), actions));
+    } else if (auto* report = std::get_if<SendRolloutEvidence>(&action)) {
+      actions->push_back(SendPeer{LinkOf(report->to), kHighestRank,
+                                  std::move(report->evidence)});
+    } else if (auto* record = std::get_if<LogRecord>(&action)) {
+      actions->push_back(std::move(*record));
+    } else {
+      spread = true;
+    }
+  }
+  BackendRunner::Actions runs;
+  runner_.SetVersionRefused(rollouts_.RefusesOwn(), &runs, now);
+  if (!runs.empty()) DispatchRunner(now, std::move(runs), actions);
+  if (!spread) return;
+  AnnounceVersion(now, actions);
+  announcement_due_ = true;
+  announce_at_ = now + settings_.announcement_repeat_ms;
 }
 
 /// Whether no member of some zone is reachable.
@@ -547,6 +595,8 @@
       actions->push_back(std::move(*start));
     } else if (auto* cancel = std::get_if<CancelRunOnBackend>(&action)) {
       actions->push_back(*cancel);
+    } else if (auto* run = std::get_if<RunObserved>(&action)) {
+      rollouts_.OnRun(now, run->route, run->outcome, run->run_ms, run->warm);
     } else if (auto* record = std::get_if<LogRecord>(&action)) {
       actions->push_back(std::move(*record));
     } else {
@@ -592,6 +642,7 @@
   datagram->version_age_ms = config_.VersionAgeMs(now);
   datagram->document_generation = config_.DocumentGeneration();
   datagram->document_hash = config_.DocumentHash();
+  if (rollouts_.Spreads()) datagram->rollouts = rollouts_.Table().States(now);
 }
 
 void MeshNode::SendDatagrams(TimeMs now, std::vector<DatagramOut> list,
@@ -626,6 +677,18 @@
   return suspects.Check(now, fingerprint) == CrashGuard::Verdict::kRefuse;
 }
 
+void MeshNode::RestrictByRollout(
+    const std::string& service, std::optional<uint64_t> draw,
+    std::vector<TargetCandidate>* candidates) const {
+  if (!rollouts_.Enabled()) return;
+  static const std::string kUnknown;
+  auto version_of = [&](MemberId id) -> const std::string& {
+    const MemberRecord* member = membership_.Find(id);
+    return member != nullptr ? member->version : kUnknown;
+  };
+  rollouts_.Table().Restrict(service, draw, version_of, candidates);
+}
+
 std::string MeshNode::LinkOf(MemberId id) const {
   const MemberRecord* member = membership_.Find(id);
   return member != nullptr ? member->link : "";
@@ -634,7 +697,8 @@
 std::vector<const Counters*> MeshNode::AllCounters() const {
   return {&membership_.Counts(),      &config_.Counts(),
           &forwarder_.Counts(),       &runner_.Counts(),
-          &suspicion_store_.Counts(), &counters_};
+          &suspicion_store_.Counts(), &rollouts_.Counts(),
+          &rollouts_.StoreCounts(),   &counters_};
 }
 
 std::vector<const Histograms*> MeshNode::AllHistograms() const {
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -13,6 +13,7 @@
 #include "banyanloft/mesh/backend_runner.h"
 #include "banyanloft/mesh/config_follower.h"
 #include "banyanloft/mesh/forwarder.h"
+#include "banyanloft/mesh/rollout_agent.h"
 #include "banyanloft/mesh/startup_buffer.h"
 #include "banyanloft/mesh/suspicion_store.h"
 #include "banyanloft/store/platform_message.h"
@@ -61,6 +62,7 @@
   ForwarderSettings forwarder;
   BackendRunnerSettings runner;
   SuspicionStoreSettings suspicion_store;
+  RolloutSettings rollouts;
 
   /// Sets drain_max_ms and drain_write_max_ms, and limits the earlier steps of
   /// a planned stop so that they fit into it.
@@ -133,6 +135,7 @@
   const Membership& Members() const { return membership_; }
   const BackendRunner& Runner() const { return runner_; }
   const Forwarder& RequestForwarder() const { return forwarder_; }
+  const RolloutAgent& Rollouts() const { return rollouts_; }
   std::vector<const Counters*> AllCounters() const;
   std::vector<const Histograms*> AllHistograms() const;
   /// Time since the store was last known to hold no newer configuration, in ms;
@@ -147,12 +150,17 @@
   std::vector<TargetCandidate> CandidatesOf(
       const std::string& service) const override;
   bool IsContained(TimeMs now, const MeshRequest& request) const override;
+  void RestrictByRollout(
+      const std::string& service, std::optional<uint64_t> draw,
+      std::vector<TargetCandidate>* candidates) const override;
 
   void DispatchForwarder(TimeMs now, Forwarder::Actions list, Actions* actions);
   void DispatchRunner(TimeMs now, BackendRunner::Actions list,
                       Actions* actions);
   void DispatchConfig(TimeMs now, ConfigFollower::Actions list,
                       Actions* actions);
+  void DispatchRollouts(TimeMs now, RolloutAgent::Actions list,
+                        Actions* actions);
   void SendDatagrams(TimeMs now, std::vector<DatagramOut> list,
                      Actions* actions);
   void AnnounceVersion(TimeMs now, Actions* actions);
@@ -188,6 +196,7 @@
   Forwarder forwarder_;
   BackendRunner runner_;
   SuspicionStore suspicion_store_;
+  RolloutAgent rollouts_;
   bool draining_ = false;
   bool exit_sent_ = false;
   bool queued_refused_ = false;
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -32,9 +32,9 @@
 constexpr int64_t kMinSuspensionMs = 300;
 /// Time to send the last messages before the process exits, in ms.
 constexpr int64_t kShutdownFlushMs = 60;
-/// Connections to the store: one for the watch, the others for reads and
-/// writes.
-constexpr size_t kStoreConnections = 4;
+/// Connections to the store: two for watches, of which each may be given up
+/// while it waits, the others for reads and writes.
+constexpr size_t kStoreConnections = 6;
 constexpr size_t kControlConnections = 16;
 /// Longest response body of the backend server, in bytes: with its head it must
 /// fit into one message between daemons.
--- a/banyanloft/store/memory_platform.cc
+++ b/banyanloft/store/memory_platform.cc
@@ -34,8 +34,15 @@
         Error{ErrorKind::kOversizedRequest, "the value is over a megabyte"};
     return reply;
   }
+  if (call.is_status && it == objects_.end()) {
+    reply.error = Error{ErrorKind::kPlatformUnavailable, "no such object"};
+    return reply;
+  }
   reply.revision = ++last_revision_;
-  objects_[call.key] = PlatformObject{call.key, reply.revision, call.value};
+  PlatformObject& object = objects_[call.key];
+  object.key = call.key;
+  object.revision = reply.revision;
+  (call.is_status ? object.status : object.value) = call.value;
   return reply;
 }
 
--- a/banyanloft/store/memory_platform.h
+++ b/banyanloft/store/memory_platform.h
@@ -16,6 +16,8 @@
   static constexpr size_t kMaxValueBytes = 1024 * 1024;
 
   PlatformReply Do(const PlatformCall& call) override;
+  void Erase(const std::string& key) { objects_.erase(key); }
+  uint64_t LastRevision() const { return last_revision_; }
 
  private:
   PlatformReply Write(const PlatformCall& call);
--- a/banyanloft/store/platform_message.h
+++ b/banyanloft/store/platform_message.h
@@ -14,6 +14,8 @@
   std::string key;
   uint64_t revision = 0;  ///< Increases with each write of the object; never 0.
   std::string value;
+  std::string
+      status;  ///< Written apart from the value; empty if there is none.
 };
 
 /// One call of the platform's object API.
@@ -27,6 +29,8 @@
   int64_t wait_ms = 0;       ///< Longest wait of a watch, in ms.
   bool allow_stale = false;  ///< With kList: the answer may be out of date.
   std::string value;         ///< With kWrite.
+  /// With kWrite: `value` is the object's status; its value is kept.
+  bool is_status = false;
   std::optional<uint64_t>
       expected_revision;  ///< With kWrite: 0 means the object must not exist.
 };
@@ -44,6 +48,8 @@
   /// revisions go back; 0 if unknown. Also set with an error that the store
   /// itself answered.
   uint64_t generation = 0;
+  /// With kList: keys of the objects that a watch saw deleted.
+  std::vector<std::string> deleted;
   /// With kList: objects that could not be read and were skipped.
   size_t malformed_objects = 0;
   /// Text of a generation that is no number, for the log.
--- a/standins/mesh_fleet.cc
+++ b/standins/mesh_fleet.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <sstream>
 
 namespace banyanloft {
 namespace {
@@ -11,6 +12,8 @@
 constexpr int64_t kLocalDelayMs = 1;
 constexpr int64_t kConnectTimeoutMs = 1000;
 constexpr uint64_t kConfigurationRevision = 1;
+constexpr int64_t kWatchPollMs = 20;
+constexpr int kServerError = 500;
 constexpr int kInstancesPerSubnet = 250;
 constexpr char kHost[] = "mesh.example";
 constexpr const char* kServices[] = {"catalogue", "pledges"};
@@ -42,6 +45,26 @@
     }
     return out;
   }
+  /// Orders are of the form `SERVICE VERSION DURATION_MS`, statuses of the form
+  /// `STATE VERSION`.
+  Result<RolloutOrder> ReadRollout(
+      const PlatformObject& object) const override {
+    RolloutOrder order;
+    std::istringstream spec(object.value);
+    spec >> order.service >> order.to_version >> order.duration_ms;
+    std::istringstream status(object.status);
+    std::string state;
+    status >> state >> order.status_version;
+    if (state == NameOf(RolloutPhase::kSucceeded))
+      order.status = RolloutPhase::kSucceeded;
+    if (state == NameOf(RolloutPhase::kRolledBack))
+      order.status = RolloutPhase::kRolledBack;
+    return order;
+  }
+  std::string WriteRolloutStatus(RolloutPhase phase,
+                                 const std::string& version) const override {
+    return fmt::format("{} {}", NameOf(phase), version);
+  }
 };
 
 }  // namespace
@@ -57,10 +80,12 @@
   store_.Do(write);
 }
 
-size_t MeshFleet::Start(const std::string& service) {
+size_t MeshFleet::Start(const std::string& service,
+                        const std::string& version) {
   size_t index = instances_.size();
   Instance instance;
   instance.service = service;
+  instance.version = version;
   instance.zone =
       fmt::format("z{}", index % static_cast<size_t>(settings_.zones));
   instance.link = fmt::format("10.0.{}.{}:1", index / kInstancesPerSubnet,
@@ -134,6 +159,7 @@
   report.start_time_ms = instance.born_ms;
   report.sequence = ++instance.reports;
   report.service = instance.service;
+  report.version = instance.version;
   report.address = instance.link;
   report.slots = settings_.slots;
   InvokeLater(kLocalDelayMs, index,
@@ -260,13 +286,62 @@
               });
 }
 
-/// A watch ends after its wait without a change: nothing changes the
-/// configuration.
+void MeshFleet::OrderRollout(const std::string& service,
+                             const std::string& to_version,
+                             int64_t duration_ms) {
+  PlatformCall write;
+  write.type = PlatformCall::Type::kWrite;
+  write.key = settings_.node.rollouts.store.prefix + service;
+  write.value = fmt::format("{} {} {}", service, to_version, duration_ms);
+  store_.Do(write);
+}
+
+void MeshFleet::RemoveRollout(const std::string& service) {
+  store_.Erase(settings_.node.rollouts.store.prefix + service);
+}
+
+std::string MeshFleet::RolloutStatusOf(const std::string& service) {
+  PlatformCall read;
+  read.key = settings_.node.rollouts.store.prefix + service;
+  PlatformReply reply = store_.Do(read);
+  return reply.objects.empty() ? "" : reply.objects.front().status;
+}
+
+/// Answers a watch of the roll-outs once an object has changed, or at `end`.
+void MeshFleet::AnswerWatch(size_t index, const PlatformCall& call,
+                            TimeMs end) {
+  PlatformCall list = call;
+  list.watch_after.reset();
+  PlatformReply reply = store_.Do(list);
+  reply.revision = store_.LastRevision();
+  auto known = [&](const PlatformObject& object) {
+    return object.revision <= *call.watch_after;
+  };
+  reply.objects.erase(
+      std::remove_if(reply.objects.begin(), reply.objects.end(), known),
+      reply.objects.end());
+  if (reply.objects.empty() && Now() < end) {
+    events_.Schedule(kWatchPollMs, [this, index, call, end] {
+      AnswerWatch(index, call, end);
+    });
+    return;
+  }
+  InvokeLater(settings_.store_delay_ms, index,
+              [this, reply](MeshNode* node, MeshNode::Actions* actions) {
+                node->OnStore(Now(), reply, actions);
+              });
+}
+
+/// A watch of the configuration ends after its wait without a change: nothing
+/// changes it.
 void MeshFleet::CallStore(size_t index, const PlatformCall& call) {
   ++store_calls_;
   bool cut = partitioned_from_store_ &&
              partitioned_zones_.count(instances_[index].zone) > 0;
-  if (cut) return;
+  if (cut || cut_from_store_.count(index) > 0) return;
+  bool rollouts = call.key.rfind(settings_.node.rollouts.store.prefix, 0) == 0;
+  if (rollouts && call.watch_after && !store_unavailable_)
+    return AnswerWatch(index, call, Now() + call.wait_ms);
   int64_t delay_ms = settings_.store_delay_ms;
   PlatformReply reply;
   if (store_unavailable_) {
@@ -278,8 +353,13 @@
   } else {
     reply = store_.Do(call);
   }
+  if (call.is_status && !store_unavailable_ && lost_status_answers_ > 0) {
+    --lost_status_answers_;
+    return;
+  }
   bool list = call.type == PlatformCall::Type::kList;
-  if (list && !reply.error) reply.revision = kConfigurationRevision;
+  if (list && !reply.error)
+    reply.revision = rollouts ? store_.LastRevision() : kConfigurationRevision;
   InvokeLater(delay_ms, index,
               [this, reply](MeshNode* node, MeshNode::Actions* actions) {
                 node->OnStore(Now(), reply, actions);
@@ -312,11 +392,12 @@
   int64_t run_ms = settings_.run_ms / 2 +
                    static_cast<int64_t>(
                        random_.Below(static_cast<uint64_t>(settings_.run_ms)));
+  int status = fails && fails(index, start.request.target) ? kServerError : 200;
   events_.Schedule(
-      run_ms, [this, index, run, server_start = instance.server_start] {
+      run_ms, [this, index, run, status, server_start = instance.server_start] {
         const Instance& now = instances_[index];
         bool same = now.server_up && now.server_start == server_start;
-        if (same) EndRun(index, run, RunResult::Type::kAnswered, 0);
+        if (same) EndRun(index, run, RunResult::Type::kAnswered, 0, status);
       });
 }
 
@@ -333,18 +414,20 @@
 
 /// Delivers the result of a run unless it has ended by then.
 void MeshFleet::EndRun(size_t index, uint64_t run, RunResult::Type type,
-                       int64_t delay_ms) {
-  InvokeLater(
-      delay_ms, index,
-      [this, index, run, type](MeshNode* node, MeshNode::Actions* actions) {
-        if (instances_[index].running.erase(run) == 0) return;
-        RunResult result;
-        result.run = run;
-        result.type = type;
-        result.response.status = type == RunResult::Type::kAnswered ? 200 : 0;
-        if (type == RunResult::Type::kAnswered) result.notice = BackendNotice();
-        node->OnResult(Now(), std::move(result), actions);
-      });
+                       int64_t delay_ms, int status) {
+  InvokeLater(delay_ms, index,
+              [this, index, run, type, status](MeshNode* node,
+                                               MeshNode::Actions* actions) {
+                if (instances_[index].running.erase(run) == 0) return;
+                RunResult result;
+                result.run = run;
+                result.type = type;
+                result.response.status =
+                    type == RunResult::Type::kAnswered ? status : 0;
+                if (type == RunResult::Type::kAnswered)
+                  result.notice = BackendNotice();
+                node->OnResult(Now(), std::move(result), actions);
+              });
 }
 
 void MeshFleet::Probe(size_t index) {
--- a/standins/mesh_fleet.h
+++ b/standins/mesh_fleet.h
@@ -54,7 +54,8 @@
   explicit MeshFleet(const MeshFleetSettings& settings);
 
   /// Starts an instance whose backend server runs `service`; returns its index.
-  size_t Start(const std::string& service);
+  /// `version`: of its backend server.
+  size_t Start(const std::string& service, const std::string& version = "");
   /// Kills the daemon of an instance; its backend server keeps running.
   void Kill(size_t index);
   /// Starts a new daemon in place of a killed one.
@@ -62,6 +63,16 @@
   /// Drops all messages between these zones and the others, and with
   /// `from_store` also their store calls. An empty set ends the partition.
   void Partition(std::set<std::string> zones, bool from_store);
+  /// Orders a roll-out as an operator would.
+  void OrderRollout(const std::string& service, const std::string& to_version,
+                    int64_t duration_ms);
+  void RemoveRollout(const std::string& service);
+  /// Status of the roll-out in the store, as `STATE VERSION`; empty: none.
+  std::string RolloutStatusOf(const std::string& service);
+  /// The next `count` writes of a status take effect without an answer.
+  void LoseStatusAnswers(int count) { lost_status_answers_ = count; }
+  /// Store calls of this instance get no answer from now on.
+  void CutFromStore(size_t index) { cut_from_store_.insert(index); }
   /// While unavailable, the store fails every call.
   void SetStoreUnavailable(bool unavailable) {
     store_unavailable_ = unavailable;
@@ -80,6 +91,9 @@
   const std::string& ServiceOf(size_t index) const {
     return instances_[index].service;
   }
+  const std::string& VersionOf(size_t index) const {
+    return instances_[index].version;
+  }
   const std::string& ZoneOf(size_t index) const {
     return instances_[index].zone;
   }
@@ -91,6 +105,8 @@
   uint64_t DatagramsSent() const { return datagrams_; }
   /// Whether a request with this target crashes the backend server.
   std::function<bool(const std::string& target)> crashes_server;
+  /// Whether the backend server of an instance answers a request with 500.
+  std::function<bool(size_t index, const std::string& target)> fails;
   /// Called with each log record.
   std::function<void(TimeMs now, size_t index, const LogRecord&)> on_log;
 
@@ -102,6 +118,7 @@
   struct Instance {
     std::unique_ptr<MeshNode> node;
     std::string service;
+    std::string version;
     std::string zone;
     std::string link;
     std::string gossip;
@@ -126,10 +143,11 @@
   void SendTo(size_t from, const SendPeer& send);
   void SendGossip(size_t from, const SendDatagram& send);
   void CallStore(size_t index, const PlatformCall& call);
+  void AnswerWatch(size_t index, const PlatformCall& call, TimeMs end);
   void StartRequest(size_t index, const StartRun& start);
   void Crash(size_t index);
   void EndRun(size_t index, uint64_t run, RunResult::Type type,
-              int64_t delay_ms);
+              int64_t delay_ms, int status = 200);
   void Probe(size_t index);
   std::string InstanceId(size_t index) const;
   bool Connected(size_t a, size_t b) const;
@@ -145,6 +163,8 @@
   std::set<std::string> partitioned_zones_;
   bool partitioned_from_store_ = false;
   bool store_unavailable_ = false;
+  int lost_status_answers_ = 0;
+  std::set<size_t> cut_from_store_;
   uint64_t store_calls_ = 0;
   uint64_t datagrams_ = 0;
   uint64_t next_request_ = 1;
