--- a/banyanloft/mesh/rollout_controller.cc
+++ b/banyanloft/mesh/rollout_controller.cc
@@ -277,14 +277,17 @@
   decision.reason =
       fmt::format("{} answers of the new version, {} bad, {} of the old one",
                   answers, BadAnswers(), OldAnswers());
-  bool shifts = shift_began_.has_value();
+  if (share_permille < kPermille) {
+    shift_began_.reset();
+  } else if (!shift_began_) {
+    shift_began_ = now;
+  }
   if (enough && new_ready > 0 && reached(settings_.shift_at_permille)) {
-    if (!shifts) shift_began_ = now;
-    if (now - *shift_began_ >= ShiftMs()) {
+    if (shift_began_ && now - *shift_began_ >= ShiftMs()) {
       decision.verdict = Verdict::kSucceed;
       return decision;
     }
-    decision.share_permille = kPermille;
+    decision.share_permille = static_cast<int>(kPermille);
     decision.trial_servers = static_cast<int>(new_ready);
     return decision;
   }
--- a/banyanloft/mesh/rollout_table.cc
+++ b/banyanloft/mesh/rollout_table.cc
@@ -156,6 +156,8 @@
 
 std::vector<MemberId> RolloutTable::TrialServers(const RolloutState& state,
                                                  std::vector<MemberId> ready) {
+  // Also servers that became ready after the decision.
+  if (state.share_permille >= static_cast<int>(kPermille)) return ready;
   size_t count = static_cast<size_t>(std::max(0, state.trial_servers));
   if (state.share_permille == 0) count = 0;
   if (count >= ready.size()) return ready;
--- a/tests/rollout_controller_test.cc
+++ b/tests/rollout_controller_test.cc
@@ -156,7 +156,9 @@
         }
       }
       if (age % kDecideMs != 0 || ended_ms >= 0) continue;
-      decision = controller.Decide(now, servers, servers, force.share_permille);
+      // The deciding member knows its last decision at once.
+      decision = controller.Decide(now, servers, servers,
+                                   shares.back().share_permille);
       bool ends = decision.verdict != RolloutDecision::Verdict::kContinue;
       if (ends) ended_ms = age;
       bool stops = decision.verdict == RolloutDecision::Verdict::kRollBack;
