--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -34,6 +34,7 @@
   kQuotaAsk = 15,
   kQuotaGrant = 16,
   kQuotaHandover = 17,
+  kRolloutEvidence = 18,
 };
 
 Json Tagged(MessageTag tag, Json fields) {
@@ -401,6 +402,52 @@
   return m;
 }
 
+/// Routes as a flat list: name, sums, and the buckets that are not empty.
+Json Encode(const RolloutEvidence& m) {
+  Json routes = Json::array();
+  for (const auto& [route, sums] : m.routes) {
+    Json buckets = Json::array();
+    for (size_t i = 0; i < kRunTimeBuckets; ++i) {
+      if (sums.run_times[i] == 0) continue;
+      buckets.push_back(i);
+      buckets.push_back(sums.run_times[i]);
+    }
+    routes.push_back(
+        Json::array({route, sums.answers, sums.failures, std::move(buckets)}));
+  }
+  return Tagged(MessageTag::kRolloutEvidence,
+                Json::array({m.reporter, m.service, m.to_version, m.version,
+                             std::move(routes)}));
+}
+
+RolloutEvidence ReadRolloutEvidence(CborReader* r) {
+  RolloutEvidence m;
+  m.reporter = r->Unsigned();
+  m.service = r->String();
+  m.to_version = r->String();
+  m.version = r->String();
+  CborReader routes(r->Next());
+  while (routes.Ok() && !routes.Done()) {
+    CborReader route(routes.Next());
+    RouteEvidence& sums = m.routes[route.String()];
+    sums.answers = route.Unsigned();
+    sums.failures = route.Unsigned();
+    CborReader buckets(route.Next());
+    while (buckets.Ok() && !buckets.Done()) {
+      uint64_t index = buckets.Unsigned();
+      uint64_t count = buckets.Unsigned();
+      if (index < kRunTimeBuckets) {
+        sums.run_times[index] = count;
+      } else {
+        buckets.Fail();
+      }
+    }
+    if (!buckets.Done() || !route.Done()) routes.Fail();
+  }
+  if (!routes.Done()) r->Fail();
+  return m;
+}
+
 KeyAnswer ReadKeyAnswer(CborReader* r) {
   KeyAnswer m;
   m.attempt = r->Unsigned();
@@ -449,6 +496,8 @@
       return ReadQuotaGrant(r);
     case MessageTag::kQuotaHandover:
       return ReadQuotaHandover(r);
+    case MessageTag::kRolloutEvidence:
+      return ReadRolloutEvidence(r);
     case MessageTag::kChallenge:
     case MessageTag::kHello:
       break;
@@ -472,9 +521,14 @@
 }
 
 Json Encode(const MemberRecord& m) {
-  return Json::array({m.id, m.zone, m.service, m.link, m.gossip, m.incarnation,
-                      static_cast<int>(m.state), static_cast<int>(m.health),
-                      m.slots, m.suspected_by});
+  Json fields =
+      Json::array({m.id, m.zone, m.service, m.link, m.gossip, m.incarnation,
+                   static_cast<int>(m.state), static_cast<int>(m.health),
+                   m.slots, m.suspected_by});
+  // Left out if not known, so that members without this field understand the
+  // record.
+  if (!m.version.empty()) fields.push_back(m.version);
+  return fields;
 }
 
 MemberRecord ReadMember(const Json& value) {
@@ -490,6 +544,7 @@
   m.health = ReadEnum(&r, MemberHealth::kUnreachable);
   m.slots = r.Int();
   m.suspected_by = r.Unsigned();
+  if (r.Ok() && !r.Done()) m.version = r.String();
   if (!r.Done()) m.id = 0;
   return m;
 }
@@ -576,6 +631,42 @@
                    body->end + static_cast<size_t>(body->argument)};
 }
 
+Json EncodeRollouts(const std::vector<RolloutState>& states) {
+  Json list = Json::array();
+  for (const RolloutState& s : states) {
+    list.push_back(Json::array(
+        {s.service, s.to_version, s.from_version, s.generation, s.revision,
+         static_cast<int>(s.phase), s.sequence, s.decider, s.share_permille,
+         s.trial_servers, s.age_ms, s.duration_ms}));
+  }
+  return list;
+}
+
+std::vector<RolloutState> ReadRollouts(CborReader* r) {
+  std::vector<RolloutState> states;
+  CborReader list(r->Next());
+  while (list.Ok() && !list.Done()) {
+    CborReader item(list.Next());
+    RolloutState s;
+    s.service = item.String();
+    s.to_version = item.String();
+    s.from_version = item.String();
+    s.generation = item.Unsigned();
+    s.revision = item.Unsigned();
+    s.phase = ReadEnum(&item, RolloutPhase::kRemoved);
+    s.sequence = item.Unsigned();
+    s.decider = item.Unsigned();
+    s.share_permille = item.Int();
+    s.trial_servers = item.Int();
+    s.age_ms = item.Integer();
+    s.duration_ms = item.Integer();
+    if (!item.Done()) list.Fail();
+    states.push_back(std::move(s));
+  }
+  if (!list.Done()) r->Fail();
+  return states;
+}
+
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message, uint32_t features) {
@@ -619,7 +710,7 @@
   int64_t tag = 0;
   const Json* fields = FieldsOf(value, &tag);
   bool known = tag >= static_cast<int64_t>(MessageTag::kRunRequest) &&
-               tag <= static_cast<int64_t>(MessageTag::kQuotaHandover);
+               tag <= static_cast<int64_t>(MessageTag::kRolloutEvidence);
   if (fields == nullptr || !known) return ProtocolError("link message");
   CborReader reader(*fields);
   PeerMessage message = ReadMessage(static_cast<MessageTag>(tag), &reader);
@@ -648,11 +739,13 @@
        d.detail, d.wants_reply, EncodeMembers(d.members),
        EncodeCrashSuspicions(d.crash_suspicions), d.digest});
   bool has_suspicions = d.suspicion_digest != CrashGuard::SuspicionDigest{};
-  if (d.document_generation != 0 || has_suspicions) {
+  bool has_rollouts = d.rollouts.has_value();
+  if (d.document_generation != 0 || has_suspicions || has_rollouts) {
     fields.push_back(d.document_generation);
     fields.push_back(d.document_hash);
   }
-  if (has_suspicions) fields.push_back(d.suspicion_digest);
+  if (has_suspicions || has_rollouts) fields.push_back(d.suspicion_digest);
+  if (has_rollouts) fields.push_back(EncodeRollouts(*d.rollouts));
   std::string payload = ToCbor(fields);
   return KeyedHash(secret, payload) + payload;
 }
@@ -702,6 +795,7 @@
     for (uint64_t& bucket : d.suspicion_digest) bucket = buckets.Unsigned();
     if (!buckets.Done()) r.Fail();
   }
+  if (r.Ok() && !r.Done()) d.rollouts = ReadRollouts(&r);
   if (!r.Done() || !hashes.Done()) return ProtocolError("datagram");
   return d;
 }
--- a/banyanloft/links/peer_message.h
+++ b/banyanloft/links/peer_message.h
@@ -9,6 +9,7 @@
 #include "banyanloft/links/encoded_message.h"
 #include "banyanloft/membership/member.h"
 #include "banyanloft/mesh/mesh_message.h"
+#include "banyanloft/mesh/rollout_evidence.h"
 
 namespace banyanloft {
 
@@ -17,7 +18,7 @@
     std::variant<RunRequest, RunAnswer, CancelRun, KeyRequest, KeyAnswer,
                  PullRequest, PullReply, ForwardRequest, ForwardAnswer,
                  CancelForward, DocumentRequest, DocumentReply, QuotaAsk,
-                 QuotaGrant, QuotaHandover>;
+                 QuotaGrant, QuotaHandover, RolloutEvidence>;
 
 /// Protocol versions that this release supports; links use the highest common
 /// one.
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -13,9 +13,10 @@
 #include "banyanloft/mesh/backend_runner.h"
 #include "banyanloft/mesh/config_follower.h"
 #include "banyanloft/mesh/forwarder.h"
+#include "banyanloft/mesh/link_meter.h"
 #include "banyanloft/mesh/quota_gate.h"
 #include "banyanloft/mesh/quota_home.h"
-#include "banyanloft/mesh/link_meter.h"
+#include "banyanloft/mesh/rollout_agent.h"
 #include "banyanloft/mesh/startup_buffer.h"
 #include "banyanloft/mesh/suspicion_store.h"
 #include "banyanloft/store/platform_message.h"
@@ -66,6 +67,7 @@
   SuspicionStoreSettings suspicion_store;
   QuotaSettings quota;
   QuotaViewSettings quota_view;
+  RolloutSettings rollouts;
 
   /// Sets drain_max_ms and drain_write_max_ms, and limits the earlier steps of
   /// a planned stop so that they fit into it.
@@ -143,6 +145,7 @@
   const QuotaHome& QuotasOfHome() const { return quota_home_; }
   /// Expected delay of this daemon's outgoing link, in ms.
   int64_t LinkDelayMs(TimeMs now) const { return link_.DelayMs(now); }
+  const RolloutAgent& Rollouts() const { return rollouts_; }
   std::vector<const Counters*> AllCounters() const;
   std::vector<const Histograms*> AllHistograms() const;
   /// Time since the store was last known to hold no newer configuration, in ms;
@@ -157,12 +160,17 @@
   std::vector<TargetCandidate> CandidatesOf(
       const std::string& service) const override;
   bool IsContained(TimeMs now, const MeshRequest& request) const override;
+  void RestrictByRollout(
+      const std::string& service, std::optional<uint64_t> draw,
+      std::vector<TargetCandidate>* candidates) const override;
 
   void DispatchForwarder(TimeMs now, Forwarder::Actions list, Actions* actions);
   void DispatchRunner(TimeMs now, BackendRunner::Actions list,
                       Actions* actions);
   void DispatchConfig(TimeMs now, ConfigFollower::Actions list,
                       Actions* actions);
+  void DispatchRollouts(TimeMs now, RolloutAgent::Actions list,
+                        Actions* actions);
   void SendDatagrams(TimeMs now, std::vector<DatagramOut> list,
                      Actions* actions);
   /// Whether the configuration limits any account. Otherwise nothing of the
@@ -176,6 +184,8 @@
   bool OnQuotaMessage(TimeMs now, const std::string& link,
                       const PeerMessage& message, Actions* actions);
   void AnnounceVersion(TimeMs now, Actions* actions);
+  void SendAnnouncement(TimeMs now, const std::string& gossip,
+                        Actions* actions) const;
   /// Sets the configuration version and its age in a datagram.
   void FillVersion(TimeMs now, Datagram* datagram) const;
   void UpdateAnnouncedState(TimeMs now);
@@ -214,6 +224,7 @@
   QuotaGate quota_gate_;
   TimeMs next_quota_tick_;
   LinkMeter link_;
+  RolloutAgent rollouts_;
   bool draining_ = false;
   bool exit_sent_ = false;
   bool queued_refused_ = false;
