Displaced work is logged with its account

run_displaced names the account and how far it was above its share, so that an operator sees whose work made room. Counted as runs_displaced_total before.

--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -97,6 +97,9 @@
     {"request_malformed", "the request violates the protocol; detail"},
     {"request_refused",
      "rejected before it was accepted for routing; error kind"},
+    {"run_displaced",
+     "queued work of a client account above its share makes room for others; "
+     "how far it was above when it arrived"},
     {"run_failed", "a run ended without a response; result"},
     {"run_refused",
      "the target rejected the request without running it; account, load and "
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -172,7 +172,16 @@
   for (const AdmissionDecision& decision : decisions) {
     if (decision.type == AdmissionDecision::Type::kRefuse) {
       if (decision.tier > 0) counters_.Add("runs_over_share_refused_total");
-      if (decision.displaced) counters_.Add("runs_displaced_total");
+      if (decision.displaced) {
+        const ForwardRequest& request = works_.at(decision.id).request;
+        counters_.Add("runs_displaced_total");
+        actions->push_back(
+            LogRecord{LogLevel::kInfo,
+                      "run_displaced",
+                      {{"request", request.request_id},
+                       {"account", request.account},
+                       {"tier", std::to_string(decision.tier)}}});
+      }
       Refuse(now, decision.id, decision.error, decision.retry_after_ms,
              decision.expected_wait_ms, actions);
       continue;
