--- a/tests/faulty_backend_test.cc
+++ b/tests/faulty_backend_test.cc
@@ -108,9 +108,13 @@
   void OnRunEnded(RunResult result) override {
     runs.push_back(std::move(result));
   }
-  void OnProbed(ProbeResult) override { ++probes; }
+  void OnProbed(ProbeResult result) override {
+    ++probes;
+    last_probe = std::move(result);
+  }
   std::vector<RunResult> runs;
   int probes = 0;
+  ProbeResult last_probe;
 };
 
 std::string IdIn(const std::string& head) {
@@ -275,6 +279,19 @@
   }
 }
 
+/// A full server resets health checks too; a server that is gone refuses the
+/// connection.
+TEST(faulty_backend, healthCheck_resetIsToldApartFromARefusedConnection) {
+  Serve([](const std::string&, int) { return Script{"", true, true}; });
+  Probe();
+  CHECK(results_.last_probe.reset);
+  CHECK(!results_.last_probe.up);
+  server_.reset();
+  Probe();
+  CHECK(!results_.last_probe.reset);
+  CHECK(!results_.last_probe.up);
+}
+
 /// Without a length a response ends with its connection; one that is reset is
 /// not complete.
 TEST(faulty_backend, responseWithoutLength_isCompleteOnlyIfClosedInOrder) {
