--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -116,6 +116,9 @@
      "a roll-out entered another phase; versions, phase, source, age"},
     {"rollout_share",
      "the share of the new version changed; servers that get it, evidence"},
+    {"run_displaced",
+     "queued work of a client account above its share makes room for others; "
+     "how far it was above when it arrived"},
     {"run_failed", "a run ended without a response; result"},
     {"run_refused",
      "the target rejected the request without running it; account, load and "
