--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -1,6 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "banyanloft/links/peer_message.h"
+#include "banyanloft/mesh/forwarder.h"
 #include "banyanloft/mesh/quota_gate.h"
 #include "banyanloft/mesh/quota_home.h"
 #include "banyanloft/mesh/quota_terms.h"
@@ -508,6 +509,142 @@
   CHECK(ErrorOf(DecodePeerMessage(EncodePeerMessage(ask))) != nullptr);
 }
 
+namespace {
+
+class OneTarget final : public CandidateDirectory {
+ public:
+  std::vector<TargetCandidate> CandidatesOf(const std::string&) const override {
+    return {{11, true, false}};
+  }
+  bool IsContained(TimeMs, const MeshRequest&) const override { return false; }
+};
+
+}  // namespace
+
+TEST_GROUP(quota_forwarder) {
+  OneTarget directory_;
+  QuotaView view_{QuotaViewSettings(), kSelf, TimeMs(0)};
+  QuotaLimits limits_{QuotaSettings(), WithAccount(10, 0)};
+  QuotaGate gate_{&view_, 1, TimeMs(0)};
+  Forwarder forwarder_{ForwarderSettings(), 9, &directory_};
+  Forwarder::Actions actions_;
+  QuotaOutcome outcome_;
+
+  void setup() override {
+    RouteConfiguration configuration = WithAccount(10, 0);
+    configuration.version = 1;
+    configuration.services["s"] = {"s", 100};
+    configuration.routes.push_back(HttpRouteBuilder("once", "a.example", "/")
+                                       .To("s")
+                                       .Timeout(1000)
+                                       .Build());
+    forwarder_.SetTable(*ValueOf(RouteTable::Create(configuration)));
+    forwarder_.SetQuotaGate(&gate_);
+    gate_.SetLimits(&limits_);
+    view_.Update(TimeMs(0), {Member(11)}, 0);
+    view_.Update(TimeMs(2500), {Member(11)}, 0);
+  }
+  void Request(int64_t now, uint64_t id) {
+    MeshRequest request;
+    request.request_id = "r-" + std::to_string(id);
+    request.host = "a.example";
+    request.target = "/x";
+    request.api_key = "key-1";
+    forwarder_.OnRequest(TimeMs(now), id, request, &actions_);
+  }
+  /// Answers the ask that is due and passes the decisions on.
+  void Grant(int64_t now, int tokens) {
+    QuotaGrant grant;
+    grant.sequence = gate_.Flush(TimeMs(now), &outcome_).at(0).ask.sequence;
+    QuotaGrant::Item item;
+    item.account = kAccount;
+    item.tokens = tokens;
+    item.life_ms = 250;
+    item.retry_after_ms = tokens == 0 ? 500 : 0;
+    grant.items.push_back(item);
+    gate_.OnGrant(TimeMs(now), grant, &outcome_);
+    for (const QuotaOutcome::Request& request : outcome_.requests)
+      forwarder_.OnQuotaDecision(TimeMs(now), request.id, request.decision,
+                                 &actions_);
+    outcome_.requests.clear();
+  }
+  std::vector<const SendForward*> Sent() const {
+    std::vector<const SendForward*> sent;
+    for (const ForwarderAction& action : actions_) {
+      if (const auto* send = std::get_if<SendForward>(&action))
+        sent.push_back(send);
+    }
+    return sent;
+  }
+  const MeshAnswer* AnswerOf(uint64_t id) const {
+    for (const ForwarderAction& action : actions_) {
+      const auto* answer = std::get_if<AnswerClient>(&action);
+      if (answer != nullptr && answer->request == id) return &answer->answer;
+    }
+    return nullptr;
+  }
+  void Answer(int64_t now, const SendForward& sent, RunState state,
+              std::optional<ErrorKind> error) {
+    ForwardAnswer answer;
+    answer.attempt = sent.request.attempt;
+    answer.run_state = state;
+    answer.error = error;
+    answer.response.status = 200;
+    forwarder_.OnAnswer(TimeMs(now), answer, &actions_);
+  }
+};
+
+/// Guards against a request that is sent before it has a token.
+TEST(quota_forwarder, requestWaitsForAToken_isSentWithTheTimeThatIsLeft) {
+  Request(3000, 1);
+  LONGS_EQUAL(0, Sent().size());
+  Grant(3040, 1);
+  LONGS_EQUAL(1, Sent().size());
+  LONGS_EQUAL(960, Sent()[0]->request.remaining_ms);
+}
+
+TEST(quota_forwarder, accountIsDenied_clientGetsTheErrorNotRun) {
+  Request(3000, 1);
+  Grant(3005, 0);
+  LONGS_EQUAL(0, Sent().size());
+  CHECK(AnswerOf(1)->error == ErrorKind::kQuotaExceeded);
+  CHECK(AnswerOf(1)->run_state == RunState::kNotRun);
+  CHECK(AnswerOf(1)->retry_after_ms > 0);
+  LONGS_EQUAL(0, forwarder_.InFlight());
+}
+
+/// Guards against quota lost by requests that were refused for lack of
+/// capacity.
+TEST(quota_forwarder, requestIsRefusedUnrun_nextOneUsesItsToken) {
+  Request(3000, 1);
+  Grant(3005, 1);
+  Answer(3010, *Sent().at(0), RunState::kNotRun, ErrorKind::kOverloaded);
+  CHECK(AnswerOf(1) != nullptr);
+  Request(3020, 2);
+  LONGS_EQUAL(2, Sent().size());
+}
+
+/// Guards against a quota exceeded by requests of unknown outcome, which may
+/// have run.
+TEST(quota_forwarder, requestMayHaveRun_itsTokenIsSpent) {
+  Request(3000, 1);
+  Grant(3005, 1);
+  Answer(3010, *Sent().at(0), RunState::kUnknown, ErrorKind::kBackendBroken);
+  CHECK(AnswerOf(1) != nullptr);
+  Request(3020, 2);
+  LONGS_EQUAL(1, Sent().size());
+}
+
+TEST(quota_forwarder, clientDisconnectsWhileItsRequestWaits_isNeverSent) {
+  Request(3000, 1);
+  forwarder_.OnAbandoned(TimeMs(3002), 1, &actions_);
+  Grant(3005, 1);
+  LONGS_EQUAL(0, Sent().size());
+  LONGS_EQUAL(0, forwarder_.InFlight());
+  Request(3010, 2);
+  LONGS_EQUAL(1, Sent().size());
+}
+
 TEST_GROUP(quota_nodes) {
   std::unique_ptr<MeshFleet> fleet_;
 
