Quotas: a version without limits releases waiting requests

What callers saw: nothing yet; a request that waited for a token while the limit of its account was removed would have waited until its deadline. Cause: the quota gate was not ticked without limits. Change: it is ticked while it has accounts. Bounds of the settings are tested. Evidence: groups quota_gate, quota_nodes, mesh_node, platform_protocol and reference pass; clang-tidy on the new and changed sources is clean.

--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -387,7 +387,8 @@
   BackendRunner::Actions runs;
   runner_.Tick(now, &runs);
   DispatchRunner(now, std::move(runs), actions);
-  if (HasQuotas()) TickQuotas(now, actions);
+  // A version without limits releases the requests that wait.
+  if (HasQuotas() || quota_gate_.Accounts() > 0) TickQuotas(now, actions);
   if (now >= next_membership_tick_) {
     next_membership_tick_ = now + kMembershipTickMs;
     std::vector<DatagramOut> datagrams;
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -38,7 +38,7 @@
 zone = "z"
 internal_ports = [7620,7635]
 heartbeat_interval_s = 1.5
-bounds = ["grace_s=6","retry_budget_ratio=0.2","retry_budget_slack=56","budget_window_s=10","odd=true"]
+bounds = ["grace_s=6","retry_budget_ratio=0.2","retry_budget_slack=56","budget_window_s=10","odd=true","quota_window_s=4","quota_overage=0.2","quota_slack=10"]
 app_addr = "10.1.0.8:8301"
 service = "svc"
 unknown = 7
@@ -525,6 +525,9 @@
   STRCMP_EQUAL("10.1.0.8:8304", settings->clients.Text().c_str());
   STRCMP_EQUAL("10.1.0.8:7620", settings->link.Text().c_str());
   LONGS_EQUAL(200, settings->node.forwarder.budget.ratio_permille);
+  LONGS_EQUAL(4000, settings->node.quota.window_ms);
+  DOUBLES_EQUAL(0.2, settings->node.quota.overage, 1e-9);
+  DOUBLES_EQUAL(10, settings->node.quota.slack, 1e-9);
   LONGS_EQUAL(56, settings->node.forwarder.budget.slack);
   CHECK(settings->node.drain_max_ms < 6000);
   STRCMP_EQUAL("config/main", settings->node.config.key.c_str());
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -417,6 +417,18 @@
   CHECK(Take(3010, 2) == Verdict::kTaken);
 }
 
+/// Guards against requests that wait until their deadline, because a new
+/// version has no limit for their account.
+TEST(quota_gate, limitIsRemoved_waitingRequestsAreLetThrough) {
+  Take(3000, 1);
+  QuotaLimits none;
+  gate_.SetLimits(&none);
+  gate_.Tick(TimeMs(3020), &outcome_);
+  LONGS_EQUAL(1, outcome_.requests.size());
+  CHECK(outcome_.requests[0].decision.verdict == Verdict::kTaken);
+  LONGS_EQUAL(0, gate_.Accounts());
+}
+
 /// Guards against the use of tokens that the home has granted again since.
 TEST(quota_gate, processWasSuspended_tokensAreDropped) {
   Take(3000, 1);
