Quotas: a fleet of whole nodes holds the bound through cuts and restarts

What callers saw: nothing new. Change: test with the real failure detection: partitions of 2.5, 6 and 12 s, killed daemons and a restart of all while an account asks five times its limit.

--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -670,8 +670,62 @@
     for (int i = 0; i < 12; ++i) fleet_->Start("catalogue");
     fleet_->Advance(10000);
   }
+  /// Sends 300 requests per second over the daemons that run.
+  void Drive(int64_t ms) {
+    for (int64_t end = fleet_->Now().Value() + ms;
+         fleet_->Now().Value() < end;) {
+      for (int i = 0; i < 3; ++i) {
+        size_t index = next_++ % fleet_->Size();
+        if (fleet_->Alive(index))
+          fleet_->Request(index, "/catalogue/read/x", 2000, "key-1");
+      }
+      fleet_->Advance(10);
+    }
+  }
+  /// Largest number of runs in a sliding window of 5 s.
+  size_t WorstWindow() const {
+    const std::vector<MeshFleet::Run>& runs = fleet_->Runs();
+    size_t worst = 0;
+    size_t first = 0;
+    for (size_t last = 0; last < runs.size(); ++last) {
+      while (runs[last].at - runs[first].at >= 5000) ++first;
+      worst = std::max(worst, last - first + 1);
+    }
+    return worst;
+  }
+  size_t next_ = 0;
 };
 
+/// Guards against a quota granted twice with the real failure detection: by
+/// both sides of a partition, by a killed home's successor, by a whole fleet
+/// that starts again.
+TEST(quota_nodes, hotAccountInPartitionAndRestarts_boundHolds) {
+  Begin(60, 0);
+  Drive(6000);
+  for (int64_t cut_ms : {2500, 6000, 12000}) {
+    fleet_->Partition({"z1"}, true);
+    Drive(cut_ms);
+    fleet_->Partition({}, false);
+    Drive(10000);
+  }
+  for (size_t i = 0; i < 12; i += 5) {
+    fleet_->Kill(i);
+    Drive(1500);
+    fleet_->Restart(i);
+    Drive(8000);
+  }
+  size_t before = fleet_->Runs().size();
+  Drive(10000);
+  CHECK(fleet_->Runs().size() - before >= 60 * 10 * 8 / 10);
+  for (size_t i = 0; i < 12; ++i) fleet_->Kill(i);
+  fleet_->Advance(1000);
+  for (size_t i = 0; i < 12; ++i) fleet_->Restart(i);
+  Drive(20000);
+  size_t bound = static_cast<size_t>(60 * 5 * 1.1 + 20);
+  std::string text = "runs in a window: " + std::to_string(WorstWindow());
+  CHECK_TEXT(WorstWindow() <= bound, text.c_str());
+}
+
 /// Guards against a wiring that lets requests through without a token, or that
 /// holds them for ever.
 TEST(quota_nodes, accountAsksSixTimesItsLimit_runsAreBoundedAndRestIsRefused) {
