A planned stop with several requests on each connection; steady test ports

ClientConnection keeps the bytes of further responses for the next call.

uncontrolled_clients could not bind port 41000 while a client connection of another test, which had been given that port, waited for its end (2 of 2 runs after planned_stop_processes failed at the start). Its ports are now between the soak's and the ephemeral ones. The numbers of clients and the bounds are unchanged.

--- a/tests/client_connection.h
+++ b/tests/client_connection.h
@@ -68,29 +68,27 @@
     return true;
   }
   /// Reads a response with a length; sets `status` once the head is complete.
+  /// Bytes of further responses are kept for the next call.
   bool ReadResponse(int64_t pause_ms, int* status) {
-    std::string input;
     size_t end = std::string::npos;
-    while (end == std::string::npos) {
-      if (!ReadSome(&input)) return false;
-      end = input.find("\r\n\r\n");
+    while ((end = input_.find("\r\n\r\n")) == std::string::npos) {
+      if (!ReadSome(&input_)) return false;
     }
-    *status = std::atoi(input.c_str() + std::strlen("HTTP/1.1 "));
-    std::string head = input.substr(0, end);
+    *status = std::atoi(input_.c_str() + std::strlen("HTTP/1.1 "));
+    std::string head = input_.substr(0, end);
     std::transform(head.begin(), head.end(), head.begin(), ::tolower);
     closes_ = head.find("connection: close") != std::string::npos;
     size_t length_at = head.find("content-length:");
     if (length_at == std::string::npos) return false;
     size_t length = std::strtoul(
         head.c_str() + length_at + std::strlen("content-length:"), nullptr, 10);
-    size_t body = input.size() - end - 4;
-    while (body < length) {
+    size_t total = end + std::strlen("\r\n\r\n") + length;
+    while (input_.size() < total) {
       if (pause_ms > 0)
         std::this_thread::sleep_for(std::chrono::milliseconds(pause_ms));
-      input.clear();
-      if (!ReadSome(&input)) return false;
-      body += input.size();
+      if (!ReadSome(&input_)) return false;
     }
+    input_.erase(0, total);
     return true;
   }
   bool Closes() const { return closes_; }
@@ -98,6 +96,7 @@
     if (socket_ >= 0) close(socket_);
     socket_ = -1;
     closes_ = false;
+    input_.clear();
   }
 
  private:
@@ -112,6 +111,7 @@
   }
 
   int socket_ = -1;
+  std::string input_;  ///< Received after the last response that was read.
   bool closes_ = false;
 };
 
--- a/tests/planned_stop_processes_test.cc
+++ b/tests/planned_stop_processes_test.cc
@@ -44,6 +44,7 @@
   int64_t period_ms = 50;  ///< Pause of a client between requests, in ms.
   bool keep_connections = true;
   int64_t body_ms = 0;        ///< Time that a client takes to send a body.
+  int pipelined = 1;          ///< Safe requests sent at once, if several.
   int64_t read_pause_ms = 0;  ///< Pause of a client between reads, in ms.
   int64_t traffic_before_ms = 1500;
   int64_t stop_after_start_ms = -1;  ///< Stops then, without a start-up phase.
@@ -121,6 +122,13 @@
         SleepMs(5);
         continue;
       }
+      if (plan_.pipelined > 1) {
+        AskSeveral(&connection,
+                   fmt::format("r-{}-{}-{}", instance, client, number),
+                   stopped);
+        SleepMs(plan_.period_ms);
+        continue;
+      }
       Seen seen;
       seen.idempotent = number % 2 == 0;
       seen.to_stopped = stopped;
@@ -135,6 +143,32 @@
     }
   }
 
+  /// Sends several safe requests at once, and reads their responses.
+  void AskSeveral(ClientConnection* connection, const std::string& prefix,
+                  bool stopped) {
+    std::string bytes;
+    for (int i = 0; i < plan_.pipelined; ++i) {
+      std::string id = fmt::format("{}-{}", prefix, i);
+      bytes += fmt::format(
+          "GET /lookup/{} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}: {}\r\n\r\n", id,
+          kMeshHost, wire::header::kRequestId, id, wire::header::kDeadlineMs,
+          kClientTimeoutMs);
+    }
+    Seen seen;
+    seen.to_stopped = stopped;
+    seen.sent_all = connection->Write(bytes);
+    seen.sent = Now();
+    bool open = seen.sent_all;
+    for (int i = 0; i < plan_.pipelined; ++i) {
+      seen.status = 0;
+      seen.complete = open && connection->ReadResponse(0, &seen.status);
+      open = seen.complete && !connection->Closes();
+      std::lock_guard<std::mutex> lock(mutex_);
+      seen_[fmt::format("{}-{}", prefix, i)] = seen;
+    }
+    if (!open) connection->Close();
+  }
+
   void Ask(ClientConnection* connection, const std::string& id, Seen* seen) {
     std::string body = seen->idempotent ? "" : "pledge";
     std::string head = fmt::format(
@@ -272,6 +306,15 @@
   CheckPromises();
 }
 
+/// Guards against requests behind others of their connection that run, although
+/// the connection closes before their response.
+TEST(planned_stop_processes, severalRequestsOnOneConnection_noneIsCut) {
+  plan_.pipelined = 6;
+  plan_.clients = 3;
+  plan_.fleet.backend.run_ms = 200;
+  CheckPromises();
+}
+
 TEST(planned_stop_processes, wholeZoneStops_noneIsCut) {
   plan_.fleet.instances = 6;
   plan_.stopped = {0, 1};
--- a/tests/uncontrolled_clients_test.cc
+++ b/tests/uncontrolled_clients_test.cc
@@ -192,7 +192,9 @@
   size_t memory_mb_ = 160;
 
   void setup() override {
-    settings_.first_port = 41000;
+    // Below the ephemeral ports: a client connection that waits for its end
+    // would keep a daemon from binding its port.
+    settings_.first_port = 32100;
     settings_.instances = 2;
     settings_.max_body_bytes = kMaxBodyBytes;
     settings_.backend.run_ms = 300;
