A long announced body is reserved once a quarter of it has arrived

A body of 64 MiB took 70 to 133 MB at the daemon that receives it, depending on where the last growth of its string fell: the whole body was copied near its end. Now the rest is reserved after a quarter; pages that nothing was written to take no memory.

Evidence: uncontrolled_clients (7), http (18), http_pipelining (18), http_endless_response, link and planned_stop pass.

--- a/banyanloft/http/http_server.cc
+++ b/banyanloft/http/http_server.cc
@@ -50,8 +50,11 @@
       size_t bytes = asio::buffer_size(buffers);
       size_t needed = body_.size() + bytes;
       if (needed > body_.capacity()) {
+        // Once a quarter has arrived, the rest is reserved: a later growth
+        // would hold a long body twice while it is copied.
         size_t more = std::max(needed, 2 * body_.capacity());
-        body_.reserve(announced_ >= needed ? std::min(more, announced_) : more);
+        if (announced_ >= needed && 4 * needed >= announced_) more = announced_;
+        body_.reserve(more);
       }
       for (auto it = asio::buffer_sequence_begin(buffers);
            it != asio::buffer_sequence_end(buffers); ++it) {
