Test of a limited target: key of the request's cost

The test of rate limits did not compile with the selector's query, which now holds the key of the expected cost instead of the route's name. The checks are unchanged.

--- a/tests/rate_limiter_test.cc
+++ b/tests/rate_limiter_test.cc
@@ -104,9 +104,9 @@
   constexpr MemberId kLimited = 1;
   constexpr MemberId kFree = 2;
   TargetSelector selector{TargetSelectorSettings(), 5};
-  selector.OnReport(TimeMs(120), kLimited, LoadUnder(1), "r", 120);
   TargetQuery query;
-  query.route = "r";
+  query.cost = CostModel::KeyOf({"r", "GET", "", "", 0});
+  selector.OnReport(TimeMs(120), kLimited, LoadUnder(1), query.cost, 120);
   query.aim_left_ms = 400;
   std::vector<TargetCandidate> candidates = {{kLimited, true, false},
                                              {kFree, false, false}};
