Roll-outs: wiring of orders, evidence and refusals, fleet tests

Callers saw new servers of any version get their full part at once. With the contract rollout, watchers read the orders, states travel with gossip, the first watcher in touch with the store decides, and daemons direct and refuse requests by version. Before a success all requests go to the new version for a short time, because the old servers stop at once then.

--- a/banyanloft/membership/rollout_state.h
+++ b/banyanloft/membership/rollout_state.h
@@ -30,7 +30,7 @@
   uint64_t sequence = 0;
   MemberId decider = 0;    ///< Member that gets the evidence; 0: none yet.
   int share_permille = 0;  ///< Requests that try the new version, in 1/1000.
-  /// Servers of the new version that get these requests; 0: all.
+  /// Servers of the new version that get these requests, if not all do.
   int trial_servers = 0;
   int64_t age_ms = 0;       ///< Time since the order was first seen, in ms.
   int64_t duration_ms = 0;  ///< Time allowed for the roll-out, in ms.
--- a/banyanloft/mesh/rollout_agent.cc
+++ b/banyanloft/mesh/rollout_agent.cc
@@ -118,7 +118,7 @@
   const RolloutTable::Entry* entry = table_.Find(self.service);
   if (entry == nullptr) {
     refuses_own_ = false;
-    return;
+    return recorder_.Stop();
   }
   const RolloutState& state = entry->state;
   bool running = state.phase == RolloutPhase::kRunning;
--- a/banyanloft/mesh/rollout_controller.cc
+++ b/banyanloft/mesh/rollout_controller.cc
@@ -11,6 +11,8 @@
 
 constexpr int64_t kPermille = 1000;
 constexpr int64_t kSliceMs = 1000;
+/// Longest shift as a part of the time allowed.
+constexpr int64_t kShiftDivisor = 11;
 /// Buckets above the one of the lower quartile from which a run counts as slow:
 /// a factor of 2.8 to 4, because servers are at times slower by 2.5. With one
 /// bucket less, ordinary runs on a route with a wide spread counted as slow.
@@ -191,6 +193,17 @@
   return CompareAll("recently", recent);
 }
 
+/// Time for which all requests go to the new version before it succeeds. The
+/// old servers stop at once then, so their requests have to end before.
+int64_t RolloutController::ShiftMs() const {
+  int64_t finish_ms = duration_ms_ * settings_.finish_permille / kPermille;
+  int64_t shift_ms =
+      settings_.spread_ms +
+      std::clamp(finish_ms, settings_.finish_min_ms, settings_.finish_max_ms);
+  // Short roll-outs have to end by their deadline, too.
+  return std::min(shift_ms, duration_ms_ / kShiftDivisor);
+}
+
 /// Rate of answers of both versions over the last seconds.
 double RolloutController::RecentPerMs(TimeMs now) const {
   uint64_t answers = 0;
@@ -203,7 +216,7 @@
 }
 
 /// Share that uses what is left of the exposure, in 1/1000.
-double RolloutController::Share(TimeMs now, bool ramp) const {
+double RolloutController::Share(TimeMs now) const {
   double elapsed_ms =
       static_cast<double>(std::max<int64_t>(kSliceMs, now - start_));
   // Daemons that don't report may have got a part of the share.
@@ -220,24 +233,12 @@
       static_cast<double>(settings_.trial_use_permille) / kPermille;
   double left = requests * exposure * trial_use + slack - used;
   double over_ms = static_cast<double>(settings_.follow_ms);
-  int64_t limit = settings_.max_trial_permille;
-  if (ramp) {
-    double left_ms = static_cast<double>(duration_ms_) - elapsed_ms;
-    double ramp_use =
-        static_cast<double>(settings_.ramp_use_permille) / kPermille;
-    double expected = requests + std::max(0.0, left_ms) * per_ms / 2;
-    left = expected * exposure * ramp_use + slack - used;
-    double ramp_ms = static_cast<double>(
-        duration_ms_ * settings_.succeed_at_permille / kPermille);
-    over_ms = std::max<double>(kSliceMs, ramp_ms - elapsed_ms);
-    limit = settings_.max_ramp_permille;
-  }
   // Requests that already have the share but whose answers are not known yet.
   double recent_per_ms = std::max(per_ms, RecentPerMs(now));
   left -= share_limit_ / kPermille * recent_per_ms *
           static_cast<double>(settings_.evidence_lag_ms);
   double share = std::max(0.0, left) / (recent_per_ms * over_ms) * kPermille;
-  return std::min(share, static_cast<double>(limit));
+  return std::min(share, static_cast<double>(settings_.max_trial_permille));
 }
 
 RolloutDecision RolloutController::Decide(TimeMs now, size_t old_ready,
@@ -276,8 +277,18 @@
   decision.reason =
       fmt::format("{} answers of the new version, {} bad, {} of the old one",
                   answers, BadAnswers(), OldAnswers());
-  if (enough && new_ready > 0 && reached(settings_.succeed_at_permille)) {
-    decision.verdict = Verdict::kSucceed;
+  if (share_permille < kPermille) {
+    shift_began_.reset();
+  } else if (!shift_began_) {
+    shift_began_ = now;
+  }
+  if (enough && new_ready > 0 && reached(settings_.shift_at_permille)) {
+    if (shift_began_ && now - *shift_began_ >= ShiftMs()) {
+      decision.verdict = Verdict::kSucceed;
+      return decision;
+    }
+    decision.share_permille = static_cast<int>(kPermille);
+    decision.trial_servers = static_cast<int>(new_ready);
     return decision;
   }
   if (last) {
@@ -286,13 +297,12 @@
     return decision;
   }
   if (new_ready == 0) return decision;
-  bool ramp = enough && reached(settings_.ramp_at_permille);
   // At most doubles within a second, because evidence is up to a second old.
   double base =
       std::max(share_limit_, static_cast<double>(settings_.first_permille));
   int64_t since_ms = std::min<int64_t>(kSliceMs, now - decided_at_);
   double limit = base * (1 + static_cast<double>(since_ms) / kSliceMs);
-  double share = std::min(Share(now, ramp), limit);
+  double share = std::min(Share(now), limit);
   share_limit_ = share;
   decided_at_ = now;
   decision.share_permille = static_cast<int>(share);
--- a/banyanloft/mesh/rollout_controller.h
+++ b/banyanloft/mesh/rollout_controller.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "banyanloft/core/time.h"
@@ -17,22 +18,26 @@
   /// that it may get beyond that.
   int64_t exposure_permille = 100;
   int64_t exposure_slack = 50;
-  /// Part of the exposure that is used before the ramp, and in all, in 1/1000.
-  /// The rest covers what deciding members learn late, or never.
-  int64_t trial_use_permille = 800;
-  int64_t ramp_use_permille = 900;
+  /// Part of the exposure that trial requests use, in 1/1000. Most of the rest
+  /// is for the time when all requests go to the new version.
+  int64_t trial_use_permille = 500;
   int64_t first_permille = 10;  ///< Share while nothing is known of the load.
   /// Time within which the share follows the exposure that is left, in ms.
   int64_t follow_ms = 4000;
   /// Time until an answer under a changed share is known here, in ms.
   int64_t evidence_lag_ms = 2500;
   int64_t max_trial_permille = 300;
-  int64_t max_ramp_permille = 500;
-  /// Start of the ramp, success, and the last decision in any case, as parts of
-  /// the time allowed, in 1/1000.
-  int64_t ramp_at_permille = 750;
-  int64_t succeed_at_permille = 875;
-  int64_t decide_at_permille = 958;
+  /// When all requests go to the new version, and the last decision in any
+  /// case, as parts of the time allowed, in 1/1000.
+  int64_t shift_at_permille = 875;
+  int64_t decide_at_permille = 900;
+  /// Time for the old version's requests to end before the success, as a part
+  /// of the time allowed, in 1/1000, and its bounds, in ms; and the time for
+  /// the shift to reach all daemons, in ms.
+  int64_t finish_permille = 40;
+  int64_t finish_min_ms = 800;
+  int64_t finish_max_ms = 4000;
+  int64_t spread_ms = 1000;
   int64_t window_ms = 6000;   ///< Recent time that is judged on its own, in ms.
   uint64_t min_answers = 15;  ///< For success.
   /// For success shortly before the deadline.
@@ -99,7 +104,8 @@
   std::string CompareAll(const char* span, const BothVersions& sums) const;
   static std::string Compare(const char* span, const std::string& route,
                              const Sums& old_sums, const Sums& new_sums);
-  double Share(TimeMs now, bool ramp) const;
+  double Share(TimeMs now) const;
+  int64_t ShiftMs() const;
   double RecentPerMs(TimeMs now) const;
 
   RolloutControllerSettings settings_;
@@ -118,6 +124,7 @@
   double share_limit_ = 0;
   TimeMs decided_at_;
   bool decided_ = false;
+  std::optional<TimeMs> shift_began_;
   std::string fault_;  ///< Evidence of a bad version, once found.
 };
 
--- a/banyanloft/mesh/rollout_table.cc
+++ b/banyanloft/mesh/rollout_table.cc
@@ -156,6 +156,8 @@
 
 std::vector<MemberId> RolloutTable::TrialServers(const RolloutState& state,
                                                  std::vector<MemberId> ready) {
+  // Also servers that became ready after the decision.
+  if (state.share_permille >= static_cast<int>(kPermille)) return ready;
   size_t count = static_cast<size_t>(std::max(0, state.trial_servers));
   if (state.share_permille == 0) count = 0;
   if (count >= ready.size()) return ready;
@@ -183,16 +185,25 @@
     return MostFrequent(versions, excluded);
   };
   if (entry == nullptr || removed) {
-    // Not a name of any version, so that none is excluded.
-    const std::string none("\n");
-    return KeepVersion(most_frequent(none), version_of, candidates);
+    // Servers whose version is not reported yet are kept: at the start of a
+    // fleet they are most of them.
+    std::string frequent = most_frequent("");
+    auto other = [&](const TargetCandidate& candidate) {
+      const std::string& version = version_of(candidate.id);
+      return !version.empty() && version != frequent;
+    };
+    candidates->erase(
+        std::remove_if(candidates->begin(), candidates->end(), other),
+        candidates->end());
+    return;
   }
   const RolloutState& state = entry->state;
   if (state.phase == RolloutPhase::kSucceeded)
     return KeepVersion(state.to_version, version_of, candidates);
-  bool tries_new =
-      state.phase == RolloutPhase::kRunning && draw &&
-      *draw % kPermille < static_cast<uint64_t>(state.share_permille);
+  uint64_t share = static_cast<uint64_t>(std::max(0, state.share_permille));
+  // Before a success all attempts go to the new version.
+  bool tries_new = state.phase == RolloutPhase::kRunning &&
+                   (share >= kPermille || (draw && *draw % kPermille < share));
   if (tries_new) {
     std::vector<MemberId> ready;
     for (const TargetCandidate& candidate : *candidates) {
--- a/banyanloft/store/platform_message.h
+++ b/banyanloft/store/platform_message.h
@@ -14,8 +14,7 @@
   std::string key;
   uint64_t revision = 0;  ///< Increases with each write of the object; never 0.
   std::string value;
-  std::string
-      status;  ///< Written apart from the value; empty if there is none.
+  std::string status{};  ///< Written apart from the value; may be empty.
 };
 
 /// One call of the platform's object API.
--- a/standins/mesh_backend.cc
+++ b/standins/mesh_backend.cc
@@ -161,6 +161,8 @@
                {"cold_remaining_s", 0},
                {"born", start_time_ms_},
                {"sequence", ++sequence_}};
+  if (!settings_.version.empty())
+    body[wire::field::kVersion] = settings_.version;
   heartbeat.body = body.dump();
   return heartbeat;
 }
--- a/standins/mesh_backend.h
+++ b/standins/mesh_backend.h
@@ -31,6 +31,7 @@
 struct MeshBackendSettings {
   std::string id;
   std::string service;
+  std::string version;  ///< Of its program; empty: not sent.
   Endpoint listen;
   Endpoint advertised;  ///< Sent in heartbeats; may be a proxy.
   Endpoint control;     ///< Control address of its daemon.
--- a/standins/mesh_store.cc
+++ b/standins/mesh_store.cc
@@ -36,9 +36,15 @@
 
 void MeshStore::Put(const std::string& kind, const std::string& name,
                     Json spec) {
+  SetPart(kind, name, wire::field::kSpec, std::move(spec));
+}
+
+/// Replaces the spec or the status of an object, and answers watches.
+void MeshStore::SetPart(const std::string& kind, const std::string& name,
+                        const char* part, Json value) {
   Json& object = objects_[kind][name];
-  object = {{"metadata", {{"name", name}, {"revision", ++revision_}}},
-            {"spec", std::move(spec)}};
+  object["metadata"] = {{"name", name}, {"revision", ++revision_}};
+  object[part] = std::move(value);
   std::vector<Watch> pending;
   pending.swap(watches_);
   for (Watch& watch : pending) {
@@ -114,11 +120,17 @@
   auto found = objects_[kind].find(name);
   bool exists = found != objects_[kind].end();
   bool create = request.method == "POST";
+  std::string path = PathOf(request.target);
+  std::string suffix = wire::path::kStatus;
+  bool is_status =
+      path.size() > suffix.size() &&
+      path.compare(path.size() - suffix.size(), suffix.size(), suffix) == 0;
   uint64_t current =
       exists ? found->second["metadata"]["revision"].get<uint64_t>() : 0;
   if (create == exists || (!create && expected != current))
     return Reply(id, 409, Json::object());
-  Put(kind, name, body["spec"]);
+  const char* part = is_status ? wire::field::kStatus : wire::field::kSpec;
+  SetPart(kind, name, part, body[part]);
   Reply(id, 200, objects_[kind][name]);
 }
 
--- a/standins/mesh_store.h
+++ b/standins/mesh_store.h
@@ -54,6 +54,8 @@
     std::string kind;
   };
 
+  void SetPart(const std::string& kind, const std::string& name,
+               const char* part, Json value);
   void Serve(uint64_t id, const HttpRequest& request);
   void Write(uint64_t id, const std::string& kind, const HttpRequest& request);
   void StartWatch(uint64_t id, const std::string& kind,
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -518,6 +518,87 @@
   LONGS_EQUAL(7, reply.revision);
 }
 
+TEST(platform_protocol, rolloutOrder_isReadAndItsStatusWrittenWithTheRevision) {
+  PlatformCall list;
+  list.type = PlatformCall::Type::kList;
+  list.key = "rollouts/";
+  const char* kItems =
+      R"({"items":[{"metadata":{"name":"s1","revision":5},"spec":{"service":)"
+      R"("s1","to_version":"v2","duration_s":40.5},"status":{"state":)"
+      R"("rolled_back","to_version":"v1"}}],"current_rev":9})";
+  PlatformReply reply = ReadStoreOutcome(list, OutcomeWith(200, kItems));
+  PlatformProtocol protocol;
+  Result<RolloutOrder> read = protocol.ReadRollout(reply.objects.at(0));
+  const RolloutOrder* order = ValueOf(read);
+  CHECK(order != nullptr);
+  STRCMP_EQUAL("s1", order->service.c_str());
+  STRCMP_EQUAL("v2", order->to_version.c_str());
+  LONGS_EQUAL(40500, order->duration_ms);
+  CHECK(order->status == RolloutPhase::kRolledBack);
+  CHECK(!order->HasStatus());
+
+  PlatformCall write;
+  write.type = PlatformCall::Type::kWrite;
+  write.is_status = true;
+  write.key = "rollouts/s1";
+  write.value = protocol.WriteRolloutStatus(RolloutPhase::kSucceeded, "v2");
+  write.expected_revision = 5;
+  HttpRequest request = WriteStoreRequest(write);
+  STRCMP_EQUAL("PUT", request.method.c_str());
+  STRCMP_EQUAL("/-/objects/rollouts/s1/status", request.target.c_str());
+  STRCMP_EQUAL(R"({"metadata":{"name":"s1","revision":5},"status":{"state":)"
+               R"("succeeded","to_version":"v2"}})",
+               request.body.c_str());
+}
+
+TEST(platform_protocol, rolloutOrder_malformed_isAnError) {
+  PlatformProtocol protocol;
+  for (const char* spec :
+       {"", "[]", "{}", R"({"service":"s","to_version":"v2"})",
+        R"({"service":"s","to_version":"v2","duration_s":0})",
+        R"({"service":"s","to_version":"","duration_s":5})",
+        R"({"service":"s","to_version":7,"duration_s":5})"}) {
+    PlatformObject object;
+    object.key = "rollouts/s";
+    object.value = spec;
+    CHECK(ErrorOf(protocol.ReadRollout(object)) != nullptr);
+  }
+  // A status that cannot be read is none.
+  PlatformObject object;
+  object.value = R"({"service":"s","to_version":"v2","duration_s":5})";
+  for (const char* status :
+       {"", "7", "{}", R"({"state":"x","to_version":"v2"})",
+        R"({"state":"succeeded"})"}) {
+    object.status = status;
+    Result<RolloutOrder> read = protocol.ReadRollout(object);
+    CHECK(ValueOf(read) != nullptr && !ValueOf(read)->HasStatus());
+  }
+}
+
+TEST(platform_protocol, heartbeat_versionIsOptional) {
+  const std::string fields =
+      R"("state":"ready","service":"s","address":"10.0.0.1:1","slots":3,"sequence":1)";
+  Result<InstanceReport> without = ReadHeartbeat("i", "{" + fields + "}");
+  Result<InstanceReport> with =
+      ReadHeartbeat("i", "{" + fields + R"(,"version":"v7"})");
+  STRCMP_EQUAL("", ValueOf(without)->version.c_str());
+  STRCMP_EQUAL("v7", ValueOf(with)->version.c_str());
+}
+
+TEST(platform_protocol, settings_rolloutContract_enablesRollouts) {
+  Result<SidecarSettings> plain = ReadSettingsText(kSettings);
+  CHECK(!ValueOf(plain)->node.rollouts.enabled);
+  std::string text = "contracts = [\"other\", \"rollout\"]\n";
+  text += kSettings;
+  size_t bounds = text.find("\"odd=true\"");
+  text.insert(bounds, "\"exposure_share=0.2\",\"exposure_slack=30\",");
+  Result<SidecarSettings> read = ReadSettingsText(text);
+  CHECK(ValueOf(read)->node.rollouts.enabled);
+  LONGS_EQUAL(200, ValueOf(read)->node.rollouts.controller.exposure_permille);
+  LONGS_EQUAL(30, ValueOf(read)->node.rollouts.controller.exposure_slack);
+  STRCMP_EQUAL("rollouts/", ValueOf(read)->node.rollouts.store.prefix.c_str());
+}
+
 TEST(platform_protocol, settings_validFile_isDecoded) {
   Result<SidecarSettings> read = ReadSettingsText(kSettings);
   const SidecarSettings* settings = ValueOf(read);
--- a/tests/rollout_controller_test.cc
+++ b/tests/rollout_controller_test.cc
@@ -156,11 +156,17 @@
         }
       }
       if (age % kDecideMs != 0 || ended_ms >= 0) continue;
-      decision = controller.Decide(now, servers, servers, force.share_permille);
+      // The deciding member knows its last decision at once.
+      decision = controller.Decide(now, servers, servers,
+                                   shares.back().share_permille);
       bool ends = decision.verdict != RolloutDecision::Verdict::kContinue;
       if (ends) ended_ms = age;
       bool stops = decision.verdict == RolloutDecision::Verdict::kRollBack;
-      if (decision.verdict == RolloutDecision::Verdict::kSucceed) return;
+      if (Succeeded()) {
+        requests += static_cast<uint64_t>(
+            per_s * static_cast<double>(duration_ms - age) / 1000);
+        return;
+      }
       shares.push_back({age + kSpreadMs, decision.share_permille,
                         decision.trial_servers, stops});
     }
@@ -282,7 +288,7 @@
 
 TEST(rollout_controller, versionTurnsBadLate_isRolledBackWithinItsExposure) {
   for (const Load& load : {kLoads[1], kLoads[2]}) {
-    for (int64_t from_ms : {15000, 35000, 47000}) {
+    for (int64_t from_ms : {15000, 35000, 47000, 53500}) {
       CheckRolledBack(
           [=](int64_t age_ms, const std::string&, double) {
             return Behavior{age_ms < from_ms ? 0 : 300, 0, 0};
