Roll-outs: heartbeats of the deciding member go to the other watchers

In the fleet test deciderKilled_anotherOneFinishes the watchers took over from one another without need (silent_ms=3536), and the good version missed its deadline: gossip sends no datagrams while no member changes, so a new sequence number travelled only with probes. It is now sent to the watchers directly.

--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -436,7 +436,13 @@
     } else if (auto* record = std::get_if<LogRecord>(&action)) {
       actions->push_back(std::move(*record));
     } else {
-      spread = true;
+      const std::vector<MemberId>& to = std::get<SpreadRollouts>(action).to;
+      spread = spread || to.empty();
+      for (MemberId id : to) {
+        const MemberRecord* member = membership_.Find(id);
+        if (member != nullptr && id != id_)
+          SendAnnouncement(now, member->gossip, actions);
+      }
     }
   }
   BackendRunner::Actions runs;
@@ -627,14 +633,18 @@
 
 void MeshNode::AnnounceVersion(TimeMs now, Actions* actions) {
   for (const Peer& peer : RandomPeers(&membership_, settings_.zone,
-                                      kAnnounceSameZone, kAnnounceAnyZone)) {
-    Datagram datagram;
-    datagram.from = id_;
-    datagram.from_link = settings_.link_address;
-    datagram.zone = settings_.zone;
-    FillVersion(now, &datagram);
-    actions->push_back(SendDatagram{peer.gossip, std::move(datagram)});
-  }
+                                      kAnnounceSameZone, kAnnounceAnyZone))
+    SendAnnouncement(now, peer.gossip, actions);
+}
+
+void MeshNode::SendAnnouncement(TimeMs now, const std::string& gossip,
+                                Actions* actions) const {
+  Datagram datagram;
+  datagram.from = id_;
+  datagram.from_link = settings_.link_address;
+  datagram.zone = settings_.zone;
+  FillVersion(now, &datagram);
+  actions->push_back(SendDatagram{gossip, std::move(datagram)});
 }
 
 void MeshNode::FillVersion(TimeMs now, Datagram* datagram) const {
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -164,6 +164,8 @@
   void SendDatagrams(TimeMs now, std::vector<DatagramOut> list,
                      Actions* actions);
   void AnnounceVersion(TimeMs now, Actions* actions);
+  void SendAnnouncement(TimeMs now, const std::string& gossip,
+                        Actions* actions) const;
   /// Sets the configuration version and its age in a datagram.
   void FillVersion(TimeMs now, Datagram* datagram) const;
   void UpdateAnnouncedState(TimeMs now);
--- a/banyanloft/mesh/rollout_agent.cc
+++ b/banyanloft/mesh/rollout_agent.cc
@@ -82,7 +82,7 @@
                          const char* source, Actions* actions) {
   RolloutTable::Change change = table_.Merge(now, update);
   if (change == RolloutTable::Change::kNone) return;
-  actions->push_back(SpreadRollouts{});
+  actions->push_back(SpreadRollouts{{}});
   if (change == RolloutTable::Change::kShare) return;
   const RolloutTable::Entry& entry = *table_.Find(update.service);
   const RolloutState& state = entry.state;
@@ -157,23 +157,22 @@
   return servers;
 }
 
-/// This member's place among the watchers of all zones; none if it is not one.
-std::optional<size_t> RolloutAgent::RankOf(const Membership& membership) const {
+/// The watchers of all zones, in the order in which they decide.
+std::vector<MemberId> RolloutAgent::Watchers(
+    const Membership& membership) const {
   std::set<std::string> zones = {membership.Self().zone};
   for (const auto& [id, member] : membership.Others()) {
     bool lost = member.state == MemberState::kGone ||
                 member.health == MemberHealth::kUnreachable;
     if (!lost) zones.insert(member.zone);
   }
-  size_t rank = 0;
+  std::vector<MemberId> watchers;
   for (const std::string& zone : zones) {
     for (MemberId id :
-         membership.FirstOfZone(zone, settings_.watchers_per_zone)) {
-      if (id == id_) return rank;
-      ++rank;
-    }
+         membership.FirstOfZone(zone, settings_.watchers_per_zone))
+      watchers.push_back(id);
   }
-  return std::nullopt;
+  return watchers;
 }
 
 void RolloutAgent::TickOrders(TimeMs now, const Membership& membership,
@@ -208,9 +207,10 @@
     return false;
   // This member's own decisions, of which it no longer knows the evidence.
   if (state.decider == id_) return true;
-  std::optional<size_t> rank = RankOf(membership);
-  if (!rank) return false;
-  int64_t wait_ms = static_cast<int64_t>(*rank) * settings_.takeover_step_ms;
+  std::vector<MemberId> watchers = Watchers(membership);
+  auto rank = std::find(watchers.begin(), watchers.end(), id_);
+  if (rank == watchers.end()) return false;
+  int64_t wait_ms = (rank - watchers.begin()) * settings_.takeover_step_ms;
   if (state.decider != 0) wait_ms += settings_.takeover_ms;
   return now - entry.heard_at >= wait_ms;
 }
@@ -237,7 +237,7 @@
       Decided{RolloutController(settings_.controller, state.to_version,
                                 entry->started, state.duration_ms),
               now + settings_.decide_ms + collect_ms});
-  actions->push_back(SpreadRollouts{});
+  actions->push_back(SpreadRollouts{{}});
 }
 
 void RolloutAgent::Decide(TimeMs now, const Membership& membership,
@@ -254,6 +254,8 @@
   if (in_touch && now - entry->heard_at >= settings_.heartbeat_ms) {
     ++state.sequence;
     entry->heard_at = now;
+    // Gossip would bring it to them only with the next updates or probes.
+    actions->push_back(SpreadRollouts{Watchers(membership)});
   }
   if (state.phase == RolloutPhase::kStopped) return;
   size_t old_ready = static_cast<size_t>(std::count(
@@ -273,7 +275,7 @@
     decided.succeeds = true;
   } else {
     if (SetShare(decision, in_touch, &state, actions))
-      actions->push_back(SpreadRollouts{});
+      actions->push_back(SpreadRollouts{{}});
     return;
   }
   if (!changed) return;
@@ -289,7 +291,7 @@
        {"new_answers", std::to_string(decided.controller.NewAnswers())},
        {"bad_answers", std::to_string(decided.controller.BadAnswers())},
        {"age_ms", std::to_string(now - entry->started)}}});
-  actions->push_back(SpreadRollouts{});
+  actions->push_back(SpreadRollouts{{}});
 }
 
 /// Changes the share to the decided one if that differs enough. A member that
--- a/banyanloft/mesh/rollout_agent.h
+++ b/banyanloft/mesh/rollout_agent.h
@@ -45,8 +45,10 @@
   MemberId to = 0;
   RolloutEvidence evidence;
 };
-/// Action: announce the states to some peers at once.
-struct SpreadRollouts {};
+/// Action: announce the states at once.
+struct SpreadRollouts {
+  std::vector<MemberId> to;  ///< Empty: some peers, which pass on what is new.
+};
 using RolloutAction = std::variant<RolloutStoreCall, SendRolloutEvidence,
                                    SpreadRollouts, LogRecord>;
 
@@ -107,7 +109,7 @@
   void FollowOwn(TimeMs now, const Membership& membership, Actions* actions);
   static Servers ServersOf(const Membership& membership,
                            const RolloutState& state);
-  std::optional<size_t> RankOf(const Membership& membership) const;
+  std::vector<MemberId> Watchers(const Membership& membership) const;
   void TickOrders(TimeMs now, const Membership& membership, bool watching,
                   Actions* actions);
   bool MayDecide(TimeMs now, const Membership& membership, bool watching,
