--- a/banyanloft/mesh/rollout_controller.h
+++ b/banyanloft/mesh/rollout_controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -91,7 +92,7 @@
     Sums all;
     std::map<std::string, Sums> routes;
   };
-  using BothVersions = VersionSums[2];  // Old and new.
+  using BothVersions = std::array<VersionSums, 2>;  // Old and new.
   struct Slice {
     TimeMs began;
     BothVersions sums;
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -1,6 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -473,6 +474,16 @@
     for (const std::string& line : logs_) text += line + "\n";
     return text;
   }
+  /// Time of the first log line of this event that contains `field`.
+  std::optional<TimeMs> LoggedAt(const std::string& event,
+                                 const std::string& field) {
+    for (const std::string& line : logs_) {
+      bool found = line.find(" " + event + " ") != std::string::npos &&
+                   line.find(field) != std::string::npos;
+      if (found) return TimeMs(std::stoll(line));
+    }
+    return std::nullopt;
+  }
   void CheckStatus(const char* status) {
     std::string text = fleet_.RolloutStatusOf(kService) + "\n" + Logs();
     CHECK_TEXT(fleet_.RolloutStatusOf(kService) == status, text.c_str());
@@ -499,6 +510,10 @@
   CheckStatus("succeeded v2");
   uint64_t tried = RunsAt("v2", ordered);
   CHECK(tried > 20);
+  // The old servers stop without draining: their requests must have ended.
+  std::optional<TimeMs> ended = LoggedAt("rollout_phase", "phase=succeeded");
+  CHECK(ended.has_value());
+  CHECK_TEXT(RunsAt("v1", *ended + -300) == 0, Logs().c_str());
   Load(1000);
   TimeMs after = fleet_.Now();
   Load(3000);
