--- a/tests/account_fairness_load_test.cc
+++ b/tests/account_fairness_load_test.cc
@@ -149,7 +149,7 @@
     if (request.refused_by.size() < kMaxRefusals &&
         request.refused_by.size() < targets_.size()) {
       TargetQuery query;
-      query.route = stream.route;
+      query.cost = CostOf(stream);
       query.urgency = stream.urgency;
       query.aim_left_ms = stream.aim_ms - age_ms;
       choice = selectors_[request.daemon].Choose(now_, candidates_, query,
@@ -161,7 +161,7 @@
       requests_.erase(id);
       return;
     }
-    selectors_[request.daemon].OnSent(choice->id);
+    selectors_[request.daemon].OnSent(choice->id, choice->cost_ms);
     request.target = choice->id - 1;
     AdmissionRequest work;
     work.id = id;
@@ -192,12 +192,15 @@
       Place(decision.id, decision.retry_after_ms);
     }
   }
+  static CostKey CostOf(const Stream& stream) {
+    return CostModel::KeyOf({stream.route, "GET", "", "", 0});
+  }
   void Report(const Request& request, int64_t run_ms) {
     TargetSelector& selector = selectors_[request.daemon];
     MemberId id = request.target + 1;
     selector.OnEnded(id);
     selector.OnReport(now_, id, targets_[request.target].controller->Load(now_),
-                      streams[request.stream].route, run_ms);
+                      CostOf(streams[request.stream]), run_ms);
   }
   void End() {
     uint64_t id = ends_.top().id;
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -339,7 +339,7 @@
   request.method = "POST";
   request.host = "a.example";
   request.target = "/once/1";
-  request.body.assign(100000, 'x');
+  request.body = std::string(100000, 'x');
   forwarder_->OnRequest(TimeMs(0), 1, request, &actions_);
   CHECK(Sent(0)->request.max_wait_ms < 0);
 }
