--- a/banyanloft/mesh/target_selector.cc
+++ b/banyanloft/mesh/target_selector.cc
@@ -95,6 +95,17 @@
   return waits && fresh ? target.load.link_delay_ms : 0;
 }
 
+/// What the bytes between zones cost, as time.
+int64_t TargetSelector::ZoneCostMs(const TargetCandidate& candidate,
+                                   int64_t response_bytes) const {
+  constexpr int64_t kBytesPerKb = 1024;
+  if (candidate.same_zone) return 0;
+  int64_t large_bytes =
+      std::max<int64_t>(0, response_bytes - kLargeMessageBytes);
+  return settings_.cross_zone_penalty_ms +
+         large_bytes * settings_.cross_zone_ms_per_kb / kBytesPerKb;
+}
+
 /// Estimates the expected time of each candidate that may be selected.
 void TargetSelector::Score(TimeMs now,
                            const std::vector<TargetCandidate>& candidates,
@@ -117,10 +128,9 @@
         WaitMs(now, target, query.urgency) +
         FailurePermille(now, target) * kFailurePenaltyMs / kPermille;
     if (candidate.suspect) expected_ms += kSuspectPenaltyMs;
-    int64_t zone_ms = candidate.same_zone ? 0 : settings_.cross_zone_penalty_ms;
     scored_.push_back(
         {{candidate.id, expected_ms, candidate.same_zone, cost_ms, transmit_ms},
-         expected_ms + zone_ms});
+         expected_ms + ZoneCostMs(candidate, response_bytes)});
   }
 }
 
--- a/banyanloft/mesh/target_selector.h
+++ b/banyanloft/mesh/target_selector.h
@@ -24,6 +24,10 @@
   /// A target in another zone is selected only if it is expected to finish this
   /// much earlier, in ms: traffic between zones costs more than a short wait.
   int64_t cross_zone_penalty_ms = 30;
+  /// Added to that for each KB of an expected response beyond
+  /// `kLargeMessageBytes`. A response of 90 kB costs about twenty times the
+  /// bytes of a small one, so it leaves the zone only to save most of a second.
+  int64_t cross_zone_ms_per_kb = 10;
   /// Fraction of the time left until the aim that a target of the local zone
   /// may need before other zones are considered, in 1/1000. The rest allows for
   /// errors of the estimate.
@@ -155,6 +159,8 @@
     int64_t price_ms = 0;  ///< Expected time with the cost of its zone.
   };
 
+  int64_t ZoneCostMs(const TargetCandidate& candidate,
+                     int64_t response_bytes) const;
   int64_t LinkDelayMs(TimeMs now, const TargetCandidate& candidate,
                       const Target& target, int64_t response_bytes) const;
   static int64_t TransmitMs(const TargetCandidate& candidate,
--- a/tests/mesh_routing_test.cc
+++ b/tests/mesh_routing_test.cc
@@ -171,6 +171,19 @@
   LONGS_EQUAL(2, Chosen(TimeMs(10)));
 }
 
+// A large response must not cross zones to save some hundred ms: its bytes cost
+// as much as those of many small ones.
+TEST(target_selector, choose_largeResponseLocalZoneMissesAim_staysInZone) {
+  constexpr size_t kLargeBytes = 90000;
+  for (int i = 0; i < 50; ++i)
+    selector_.OnResponse(TimeMs(0), route_, kLargeBytes);
+  selector_.OnReport(TimeMs(0), 1, LoadOf(80), route_, 100);
+  selector_.OnReport(TimeMs(0), 2, LoadOf(0), route_, 100);
+  selector_.OnReport(TimeMs(0), 3, LoadOf(0), route_, 100);
+  LONGS_EQUAL(1, Chosen(TimeMs(10)));
+  LONGS_EQUAL(2, Chosen(TimeMs(10), {1, 3}));
+}
+
 // A service that is overloaded everywhere: another zone answers too late as
 // well, so the bytes between zones would buy nothing.
 TEST(target_selector, choose_noTargetMeetsAim_staysInZone) {
