--- a/banyanloft/mesh/target_selector.cc
+++ b/banyanloft/mesh/target_selector.cc
@@ -22,9 +22,6 @@
 /// period may have ended, which no sample shows if the target is not selected.
 constexpr int64_t kMaxSlownessAgeMs = 3000;
 constexpr double kMaxSlowness = 10;
-/// Weight of a reported mean in the speed of a target. It is an average
-/// already.
-constexpr double kMeanWeight = 0.5;
 /// Weight of a single run.
 constexpr double kRunWeight = 0.125;
 
