A single long message is queued while hardly anything else is

A request with a body of 64 MiB was refused by the link, because the limit on the bytes of all links (32 MB) did not know messages up to 65 MiB, which the limit of a single link lets through. uncontrolled_clients.oneBodyOf64MiB* failed on the merged code (ctest, once in one run); it is run again with this commit.

--- a/banyanloft/links/link_hub.cc
+++ b/banyanloft/links/link_hub.cc
@@ -268,8 +268,10 @@
   EncodedMessage bytes =
       EncodePeerMessageInParts(message, link == nullptr ? 0 : link->features);
   uint64_t tag = next_tag_++;
+  size_t unsent_bytes = UnsentBytes();
   bool full = bytes.size() > settings_.frames.chunk_bytes &&
-              UnsentBytes() + bytes.size() > settings_.max_queued_bytes;
+              unsent_bytes > settings_.write_window_bytes &&
+              unsent_bytes + bytes.size() > settings_.max_queued_bytes;
   if (link == nullptr || full ||
       !link->out.Push(rank_index, tag, std::move(bytes))) {
     counters_.Add("link_refusals_total",
--- a/banyanloft/links/link_hub.h
+++ b/banyanloft/links/link_hub.h
@@ -47,7 +47,8 @@
   /// messages are paced to it if it is low.
   int64_t bytes_per_ms = 0;
   /// Bytes queued on all links above which no further message is queued: a
-  /// fifth of the memory of the smallest instances.
+  /// fifth of the memory of the smallest instances. One message may be longer
+  /// while hardly anything else is queued.
   size_t max_queued_bytes = 32 * 1024 * 1024;
   FrameSettings frames;
 };
