--- a/banyanloft/mesh/admission_controller.cc
+++ b/banyanloft/mesh/admission_controller.cc
@@ -271,8 +271,7 @@
 
 /// Refuses work of accounts above their shares whose wait has come to exceed
 /// its limit because work of others was put before it. Work that waits longer
-/// mostly ends late: in a trial, waiting a fifth longer cost 2 % of all
-/// answers.
+/// mostly ends late: a limit that is a fifth longer costs 2 % of all answers.
 void AdmissionController::RefuseOvertaken(TimeMs now, Decisions* decisions) {
   for (std::deque<AdmissionRequest>& queue : waiting_) {
     while (!queue.empty() && queue.back().tier > 0) {
