--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -159,8 +159,20 @@
   int ResetConnections(int permille);
   size_t Connections() const { return server_.Connections(); }
   int Runs() const { return runs_; }
+  /// Leaves: reports draining, serves on, deregisters and ends. Returns once it
+  /// has ended.
+  void Leave();
+  /// When it first got an answer to its report that it is draining, in ms of
+  /// NowMs(); 0: never.
+  int64_t LeavingAcknowledgedAt() const { return acknowledged_at_; }
+  /// Requests that reached it later than `drain_s` after that.
+  int LateRequests() const { return late_; }
+  /// The sequence number and the start time that its reports carry.
+  int Sequence() const { return sequence_; }
+  int64_t BornMs() const { return born_ms_; }
 
  private:
+  bool SendHeartbeat();
   void OnRequest(uint64_t connection, const Message& request);
   void SendHeartbeats();
 
@@ -173,7 +185,11 @@
   std::mt19937_64 random_;
   Server server_;
   int64_t born_ms_;
-  int runs_ = 0;
+  std::atomic<int> runs_{0};
+  std::atomic<int> late_{0};
+  std::atomic<int> sequence_{0};
+  std::atomic<bool> draining_{false};
+  std::atomic<int64_t> acknowledged_at_{0};
   std::atomic<bool> stop_{false};
   std::thread heartbeats_;
 };
