review: case 8, answers that clients read late end a daemon

Nothing bounds the responses that a daemon holds for its clients. Tried: review/8/run.sh, 80 clients of each of two machines ask for 3.1 MB and read it 5 s later, on machines of 160 MB. Answers of 2 and 2.8 MB were tried first and fit into the kernel's buffers: no end.

--- a/review/standin-2/net.cc
+++ b/review/standin-2/net.cc
@@ -87,8 +87,10 @@
   return text + body;
 }
 
-int Connect(uint16_t port, int timeout_ms) {
+int Connect(uint16_t port, int timeout_ms, int window_bytes) {
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (window_bytes > 0)
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window_bytes, sizeof(window_bytes));
   timeval limit{timeout_ms / 1000, timeout_ms % 1000 * 1000};
   setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
   setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
@@ -229,7 +231,20 @@
 void Server::Reply(uint64_t connection, const std::string& text) {
   auto found = connections_.find(connection);
   if (found == connections_.end()) return;
-  send(found->second.fd, text.data(), text.size(), MSG_NOSIGNAL);
+  constexpr int kMaxWaitMs = 5000;
+  int fd = found->second.fd;
+  size_t sent = 0;
+  while (sent < text.size()) {
+    ssize_t count =
+        send(fd, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
+    if (count > 0) {
+      sent += static_cast<size_t>(count);
+      continue;
+    }
+    if (errno != EAGAIN) return;
+    pollfd writable{fd, POLLOUT, 0};
+    if (poll(&writable, 1, kMaxWaitMs) <= 0) return;
+  }
 }
 
 int Server::Reset(int permille, const std::function<uint64_t()>& draw) {
--- a/review/standin-2/net.h
+++ b/review/standin-2/net.h
@@ -38,8 +38,9 @@
     int status, const std::vector<std::pair<std::string, std::string>>& headers,
     const std::string& body);
 
-/// Opens a TCP connection to 127.0.0.1; -1 on failure.
-int Connect(uint16_t port, int timeout_ms);
+/// Opens a TCP connection to 127.0.0.1; -1 on failure. `window_bytes`: size of
+/// its receive buffer; 0: that of the system.
+int Connect(uint16_t port, int timeout_ms, int window_bytes = 0);
 
 /// Sends a request on a new connection and waits for its response. Status 0: no
 /// response.
--- a/review/standin-2/platform.cc
+++ b/review/standin-2/platform.cc
@@ -384,9 +384,11 @@
   int64_t acknowledged_at = acknowledged_at_;
   if (acknowledged_at > 0 && NowMs() - acknowledged_at > kDrainMs) ++late_;
   journal_->Ran(id, request);
+  std::string body = "done " + id;
+  if (request.target.compare(0, 6, "/scan/") == 0)
+    body.resize(std::max<size_t>(body.size(), scan_bytes_), '.');
   std::string text = ResponseText(
-      200, {{"X-Attempt-Id", id}, {"X-Response-Signature", "s." + id}},
-      "done " + id);
+      200, {{"X-Attempt-Id", id}, {"X-Response-Signature", "s." + id}}, body);
   int64_t run_ms = static_cast<int64_t>(random_() % 3);
   if (run_ms == 0) return server_.Reply(connection, text);
   loop_->After(run_ms,
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -165,6 +165,8 @@
   /// When it first got an answer to its report that it is draining, in ms of
   /// NowMs(); 0: never.
   int64_t LeavingAcknowledgedAt() const { return acknowledged_at_; }
+  /// Length of the answers to requests below /scan/, in bytes.
+  void SetScanBytes(size_t bytes) { scan_bytes_ = bytes; }
   /// Requests that reached it later than `drain_s` after that.
   int LateRequests() const { return late_; }
   /// The sequence number and the start time that its reports carry.
@@ -186,6 +188,7 @@
   Server server_;
   int64_t born_ms_;
   std::atomic<int> runs_{0};
+  std::atomic<size_t> scan_bytes_{0};
   std::atomic<int> late_{0};
   std::atomic<int> sequence_{0};
   std::atomic<bool> draining_{false};
