review: the resets of case 6 stay within their dose

Each connection was drawn with 55 %, so that single resets took more than the site names. Now at most 55 % of the open connections are reset. A stand-in that ends by a signal counts as a case that could not run. Built, not run yet.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -20,6 +20,7 @@
   base=$((20000 + RANDOM % 10000))
   "$standin" "$dir" "$base" "${SECONDS_OF_LOAD:-66}" "${TROUBLE:-1}" "${SEED:-$RANDOM}" &
   run=$!
+  pids+=("$run")
   for _ in $(seq 50); do
     [ -s "$dir/ready" ] && break
     kill -0 "$run" 2>/dev/null || break
@@ -29,13 +30,13 @@
   wait "$run"
 done
 [ -s "$dir/ready" ] || exit 2
-pids+=("$run")
 for i in 0 1 2 3 4 5; do
   BANYANLOFT_SETTINGS="$dir/sidecar-$i.toml" "$daemon" >"$dir/daemon-$i.log" 2>&1 &
   pids+=($!)
 done
 wait "$run"
 verdict=$?
+[ "$verdict" -le 1 ] || verdict=2
 cp "$dir/record.txt" "$case_dir/record.txt" || exit 2
 tail -n 4 "$case_dir/record.txt"
 exit "$verdict"
--- a/review/standin-2/net.h
+++ b/review/standin-2/net.h
@@ -82,7 +82,8 @@
   Server(Loop* loop, uint16_t port, Handler handler);
   bool Listening() const { return listener_ >= 0; }
   void Reply(uint64_t connection, const std::string& text);
-  /// Resets a share of the open connections, in 1/1000, chosen by `draw`.
+  /// Resets at most this share of the open connections, in 1/1000, chosen by
+  /// `draw`.
   int Reset(int permille, const std::function<uint64_t()>& draw);
   /// Stops listening and resets all connections, as a crash does.
   void Close();
