Count and log requests that are written again on another connection

Neither logs nor metrics told whether the daemon had written such a request twice or the sending daemon had lost its body.

http_requests_resent_total counts, by server, requests whose idle connection the server had closed; http_request_resent names the request. HttpClientSettings says which server a client is for, since a daemon has one for the backend server and one for the store.

Behaviour is unchanged.

--- a/banyanloft/daemon/daemon.cc
+++ b/banyanloft/daemon/daemon.cc
@@ -368,12 +368,14 @@
 
   HttpClientSettings backend;
   backend.server = settings_.backend;
+  backend.server_role = "backend";
   backend.max_connections = settings_.backend_connections;
   backend.max_body_bytes = settings_.max_body_bytes;
   backend_client_ = std::make_unique<HttpClient>(backend_thread_.Io(), backend);
   if (settings_.platform) {
     HttpClientSettings platform;
     platform.server = *settings_.platform;
+    platform.server_role = "store";
     platform.max_connections = 8;
     platform_client_ =
         std::make_unique<HttpClient>(platform_thread_.Io(), platform);
--- a/banyanloft/daemon/metrics_page.cc
+++ b/banyanloft/daemon/metrics_page.cc
@@ -117,6 +117,9 @@
        "Requests of clients refused while they were received"},
       {"http_bodies_given_up_total", "",
        "Incomplete request bodies given up for lack of memory"},
+      {"http_requests_resent_total", "server",
+       "Requests to the server sent again, because it had closed the idle "
+       "connection"},
       {"forward_requests_total", "service", "Requests of clients by service"},
       {"forward_attempts_total", "distance",
        "Attempts sent, within the zone and beyond"},
--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -60,6 +60,9 @@
      "a request cannot be written as HTTP and fails unsent; method, detail"},
     {"http_request_refused",
      "a client sent a request that HTTP forbids; method, detail"},
+    {"http_request_resent",
+     "a server had closed the idle connection on which a request was to be "
+     "written; it is written on another one; server, method, target, detail"},
     {"http_response_invalid",
      "a response cannot be written as HTTP; its connection was closed"},
     {"instance_changed",
--- a/banyanloft/http/http_client.cc
+++ b/banyanloft/http/http_client.cc
@@ -56,6 +56,7 @@
   void Probe(std::function<void(bool)> done);
   void Close();
   size_t BufferedBodyBytes() const { return buffered_body_bytes_; }
+  const Counters& Counts() const { return counters_; }
 
  private:
   class Connection;
@@ -88,6 +89,7 @@
   std::vector<std::shared_ptr<Connection>> idle_;
   std::unordered_map<uint64_t, std::shared_ptr<Connection>> busy_;
   std::deque<Job> waiting_;
+  Counters counters_;
 };
 
 /// One connection and the request it carries.
@@ -186,7 +188,15 @@
     job_.reset();
     client_->busy_.erase(job.id);
     --client_->open_connections_;
-    if (!client_->closed_) client_->Assign(std::move(job));
+    if (client_->closed_) return;
+    const std::string& role = client_->settings_.server_role;
+    client_->counters_.Add("http_requests_resent_total", role);
+    Log(LogLevel::kInfo, "http_request_resent",
+        {{"server", role},
+         {"method", job.request.method},
+         {"target", job.request.target},
+         {"detail", error.message()}});
+    client_->Assign(std::move(job));
   }
 
   /// False if the request cannot be written as HTTP: Beast then throws.
@@ -481,6 +491,7 @@
 size_t HttpClient::BufferedBodyBytes() const {
   return impl_->BufferedBodyBytes();
 }
+const Counters& HttpClient::Counts() const { return impl_->Counts(); }
 void HttpClient::Probe(std::function<void(bool)> done) {
   impl_->Probe(std::move(done));
 }
--- a/banyanloft/http/http_client.h
+++ b/banyanloft/http/http_client.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "banyanloft/core/counters.h"
 #include "banyanloft/core/error.h"
 #include "banyanloft/http/http_message.h"
 
@@ -14,6 +15,8 @@
 /// Settings of an HTTP client.
 struct HttpClientSettings {
   Endpoint server;
+  /// What the server is, as the label of metrics and in logs.
+  std::string server_role = "server";
   size_t max_connections = 100;       ///< Maximum number of open connections.
   size_t max_waiting = 1000;          ///< Maximum number of queued requests.
   int64_t connect_timeout_ms = 1000;  ///< Connect timeout, in ms.
@@ -81,6 +84,7 @@
   void Cancel(uint64_t id);
   /// Bytes of response bodies that are being received now.
   size_t BufferedBodyBytes() const;
+  const Counters& Counts() const;
   /// Tries to connect and reports whether the server accepted the connection.
   void Probe(std::function<void(bool up)> done);
 
--- a/banyanloft/mesh/backend_client.h
+++ b/banyanloft/mesh/backend_client.h
@@ -36,6 +36,7 @@
   void Start(StartRun start, bool after_input);
   void Cancel(const CancelRunOnBackend& cancel);
   void Probe();
+  const Counters& Counts() const { return client_.Counts(); }
 
  private:
   void Send(const StartRun& start);
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -252,6 +252,7 @@
 
   HttpClientSettings backend;
   backend.server = settings_.backend;
+  backend.server_role = "backend";
   backend.max_connections = settings_.max_backend_connections;
   backend.idle_timeout_ms = settings_.backend_idle_ms;
   backend.max_body_bytes = kMaxResponseBytes;
@@ -261,6 +262,7 @@
       io_, backend, settings_.probe_timeout_ms, protocol_, results);
   HttpClientSettings store;
   store.server = settings_.store;
+  store.server_role = "store";
   store.max_connections = kStoreConnections;
   store_ = std::make_unique<HttpClient>(io_, store);
 
@@ -482,6 +484,8 @@
   counters.push_back(links_->Counts());
   counters.push_back(gossip_->Counts());
   counters.push_back(client_server_->Counts());
+  counters.push_back(backend_->Counts());
+  counters.push_back(store_->Counts());
   uint64_t version = applied_table_ ? applied_table_->Version() : 0;
   std::vector<Gauge> gauges = {
       {"version_in_force", "Version of the configuration in force",
