Keep the body of a request until its end, in case it is sent again

Cause: HttpClient checks an idle connection and then writes. If the server closes it in between, nothing is written and the request goes to another connection. Connection::Write had moved the body out of the request by then, so that it was written again with an empty one.

Change: Send turns the body into shared bytes that stay in the job; a connection holds a reference while it writes. Write sees the request as constant, so that nothing can be moved out of it. The same client carries the writes to the store and the messages of banyanloftd.

--- a/banyanloft/http/http_client.cc
+++ b/banyanloft/http/http_client.cc
@@ -62,7 +62,7 @@
   class Connection;
   struct Job {
     uint64_t id = 0;
-    HttpRequest request;
+    HttpRequest request;  ///< Its body is in `shared_body`.
     SteadyTime deadline;
     Callback done;
     ResponseMatcher matcher;
@@ -152,9 +152,9 @@
  private:
   void Write() {
     if (cancelled_) return Finish(HttpFailure::kNotSent);
-    HttpRequest& request = job_->request;
-    body_ = request.shared_body.empty() ? SharedBytes(std::move(request.body))
-                                        : std::move(request.shared_body);
+    // Stays whole: if nothing of it is written, it is sent again.
+    const HttpRequest& request = job_->request;
+    body_ = request.shared_body;
     if (!PrepareMessage(request)) return Finish(HttpFailure::kInvalidRequest);
     PrepareParser();
     stream_.expires_at(job_->deadline);
@@ -354,7 +354,7 @@
   beast::flat_buffer buffer_;
   /// Refers to `body_`.
   std::optional<bhttp::request<bhttp::span_body<const char>>> message_;
-  SharedBytes body_;
+  SharedBytes body_;  ///< Of the request that is being written.
   std::optional<bhttp::response_parser<bhttp::string_body>> parser_;
   std::optional<Job> job_;
   SteadyTime idle_since_;
@@ -375,6 +375,8 @@
   Job job;
   job.id = id;
   job.request = std::move(request);
+  if (job.request.shared_body.empty())
+    job.request.shared_body = std::move(job.request.body);
   job.deadline =
       std::chrono::steady_clock::now() + std::chrono::milliseconds(timeout_ms);
   job.done = std::move(done);
