Close an idle connection on which the server sends bytes

What servers saw: after a complete response a server could send more bytes until the socket's buffer was full; the daemon neither read them nor closed the connection before it was used again or its idle timeout passed.

Cause: HttpClient looked at an idle connection only when it took it for a request.

Change: an idle connection waits for input, and is closed and counted (http_idle_connections_lost_total) if the server has closed it or sent anything.

Evidence: http_endless_response/anyPart and endless_response_processes/manyAtOnce failed before, both at the part "bytes-after-response", and pass now.

--- a/banyanloft/http/http_client.cc
+++ b/banyanloft/http/http_client.cc
@@ -71,6 +71,7 @@
   void Assign(Job job);
   std::shared_ptr<Connection> TakeIdle();
   void OnIdle(const std::shared_ptr<Connection>& connection);
+  void OnIdleInput(const std::shared_ptr<Connection>& connection);
   void OnClosed();
   void StartNext();
   void LimitBufferedBodies();
@@ -123,7 +124,7 @@
     Write();
   }
 
-  /// False once the server has closed the idle connection.
+  /// False once the server has closed the idle connection, or sent something.
   bool IsOpen() {
     char byte = 0;
     ssize_t got = recv(stream_.socket().native_handle(), &byte, 1,
@@ -139,6 +140,20 @@
     beast::error_code ignored;
     stream_.socket().close(ignored);
   }
+  /// Notices that the server closes the idle connection, or sends what belongs
+  /// to no request.
+  void WatchIdle() {
+    // An earlier wait may not have ended yet. It also ends by a response, which
+    // concerns only the reads.
+    if (watching_) return;
+    watching_ = true;
+    stream_.socket().async_wait(
+        Tcp::socket::wait_read,
+        [self = shared_from_this()](beast::error_code error) {
+          self->watching_ = false;
+          if (!error && !self->job_) self->client_->OnIdleInput(self);
+        });
+  }
   /// Bytes of the response body received so far.
   size_t BufferedBytes() const { return buffered_bytes_; }
   /// Closes the connection because its response takes too much memory.
@@ -366,7 +381,8 @@
   /// unnoticed.
   bool desynchronized_ = false;
   bool cancelled_ = false;
-  bool reused_ = false;  ///< Has carried a request before.
+  bool watching_ = false;  ///< Waits for input.
+  bool reused_ = false;    ///< Has carried a request before.
 };
 
 void HttpClient::Impl::Send(uint64_t id, HttpRequest request,
@@ -415,9 +431,23 @@
 
 void HttpClient::Impl::OnIdle(const std::shared_ptr<Connection>& connection) {
   idle_.push_back(connection);
+  connection->WatchIdle();
   StartNext();
 }
 
+/// Closes an idle connection that cannot be used any more. Otherwise a server
+/// could send on it without end, until the socket's buffer is full.
+void HttpClient::Impl::OnIdleInput(
+    const std::shared_ptr<Connection>& connection) {
+  auto found = std::find(idle_.begin(), idle_.end(), connection);
+  if (found == idle_.end()) return;
+  if (connection->IsOpen()) return connection->WatchIdle();
+  idle_.erase(found);
+  counters_.Add("http_idle_connections_lost_total", settings_.server_role);
+  connection->CloseSocket();
+  OnClosed();
+}
+
 void HttpClient::Impl::OnClosed() {
   --open_connections_;
   StartNext();
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -26,6 +27,11 @@
   double timeout_s = 0;       ///< Of all routes; 0: the usual value.
   /// Template; id, service and addresses are filled in.
   MeshBackendSettings backend;
+  /// Instances whose requests the test answers itself, at BackendAddress: their
+  /// backend servers only report.
+  std::set<int> answered_by_test;
+  /// Port of a store that the test runs; 0: the daemons use the simulated one.
+  uint16_t store_port = 0;
 };
 
 /// Daemons as processes on loopback, beside a simulated store and backend
@@ -52,6 +58,9 @@
   void KillDaemon(int instance);
   /// Address at which the daemon of an instance accepts clients.
   Endpoint Clients(int instance) const { return AddressOf(instance, 1); }
+  /// Address at which the daemon reaches its backend server.
+  Endpoint BackendAddress(int instance) const { return AddressOf(instance, 4); }
+  static std::string BackendId(int instance);
 
   /// Calls a function on the thread of the stand-ins and waits for its end.
   void Call(const std::function<void()>& function);
