Bound the memory of responses that clients have not read

What callers saw: 80 clients each of two instances of 160 MB ask for responses of 3.1 MB and read them after 5 s.

Cause: HttpServer holds each response whole until the socket has taken it, and nothing bounded the sum over all connections.

Change: ResponseBudget adds up the responses that are not written. Long ones take at most a fifth of the instance's memory, all others a sixteenth; above that, the connection whose response has been held for longest is closed and counted. New requests are not refused for it: clients that read nothing would shut out all others.

--- a/banyanloft/daemon/metrics_page.cc
+++ b/banyanloft/daemon/metrics_page.cc
@@ -117,6 +117,9 @@
        "Requests of clients refused while they were received"},
       {"http_bodies_given_up_total", "",
        "Incomplete request bodies given up for lack of memory"},
+      {"http_connections_given_up_total", "",
+       "Connections of clients that did not read responses, closed for lack of "
+       "memory"},
       {"http_idle_connections_lost_total", "server",
        "Idle connections that the server closed, or on which it sent bytes"},
       {"http_requests_resent_total", "server",
--- a/banyanloft/daemon/reference.cc
+++ b/banyanloft/daemon/reference.cc
@@ -56,6 +56,10 @@
     {"http_body_given_up",
      "the body of a request was given up while it arrived, because all bodies "
      "exceed their memory; bytes received, bytes held by all"},
+    {"http_connection_given_up",
+     "a connection was closed because its client had not read a response, and "
+     "all responses exceed their memory; requests abandoned, bytes held by "
+     "all"},
     {"http_request_invalid",
      "a request cannot be written as HTTP and fails unsent; method, detail"},
     {"http_request_refused",
@@ -168,7 +172,9 @@
      "memory of the instance, in MB; request bodies above 16 KiB take at most "
      "a "
      "quarter of it, or what one body of `max_body_bytes` needs, up to 45 %; "
-     "all smaller ones take at most a sixteenth; needs a restart"},
+     "responses above 16 KiB that clients have not read take at most a fifth; "
+     "all smaller bodies, and all smaller responses, take at most a sixteenth "
+     "each; needs a restart"},
     {"max_header_bytes", "configuration", "-",
      "longest header and trailers of a request together, in bytes"},
     {"max_pipelined_requests", "built in", "8",
--- a/banyanloft/http/http_server.cc
+++ b/banyanloft/http/http_server.cc
@@ -81,7 +81,8 @@
         settings_(settings),
         handler_(handler),
         acceptor_(io),
-        bodies_(settings.bodies) {}
+        bodies_(settings.bodies),
+        responses_(settings.responses) {}
 
   Result<Endpoint> Start();
   void Reply(uint64_t id, HttpResponse response);
@@ -98,6 +99,7 @@
 
   void Accept();
   void LimitBodies(TimeMs now);
+  void LimitResponses();
 
   asio::io_context& io_;
   HttpServerSettings settings_;
@@ -111,6 +113,7 @@
   /// Connections close after the responses to the requests read so far.
   bool keep_alive_disabled_ = false;
   BodyBudget bodies_;
+  ResponseBudget responses_;
   Counters counters_;
   std::string scratch_;  ///< Input of the connection that is being read.
   std::unordered_map<uint64_t, std::shared_ptr<Session>> waiting_;
@@ -130,8 +133,7 @@
         watch_timer_(server_->io_) {}
   ~Session() {
     DiscardInput();
-    for (const Request& request : requests_)
-      server_->bodies_.Release(request.body_bytes);
+    for (const Request& request : requests_) ReleaseMemory(request);
     requests_.clear();
     CountUnfinished();
     server_->sessions_.erase(id_);
@@ -151,6 +153,8 @@
       request.response = std::move(response);
       server_->bodies_.Release(request.body_bytes);
       request.body_bytes = 0;
+      request.response_number =
+          server_->responses_.Hold(id_, request.response.body.size());
       CountUnfinished();
       return Write();
     }
@@ -166,6 +170,15 @@
     Refuse(ErrorKind::kQueueFull);
   }
 
+  /// Closes the connection, for lack of memory for its responses.
+  void GiveUpResponses() {
+    server_->counters_.Add("http_connections_given_up_total");
+    Log(LogLevel::kWarning, "http_connection_given_up",
+        {{"requests", std::to_string(requests_.size())},
+         {"held", std::to_string(server_->responses_.HeldBytes())}});
+    Close(true);
+  }
+
   /// Closes the connection. The requests in progress are abandoned; `notify`:
   /// the handler is told so.
   void Close(bool notify) {
@@ -200,10 +213,16 @@
     size_t body_bytes = 0;  ///< Counted as in progress.
     bool answered = false;
     HttpResponse response;
+    uint64_t response_number = 0;  ///< Of `response` in the budget.
   };
 
   TimeMs Now() const { return server_->clock_.Now(); }
 
+  void ReleaseMemory(const Request& request) {
+    server_->bodies_.Release(request.body_bytes);
+    server_->responses_.Release(request.response_number);
+  }
+
   /// Counts the requests that UnfinishedResponses() reports: all but those that
   /// the handler works on.
   void CountUnfinished() {
@@ -483,7 +502,7 @@
     std::vector<uint64_t> abandoned;
     while (requests_.size() > kept) {
       Request& last = requests_.back();
-      server_->bodies_.Release(last.body_bytes);
+      ReleaseMemory(last);
       if (last.id != 0 && !last.answered) abandoned.push_back(last.id);
       requests_.pop_back();
     }
@@ -553,6 +572,7 @@
     if (error) return Close(true);
     bool closes = response_->need_eof();
     response_.reset();
+    ReleaseMemory(requests_.front());
     requests_.pop_front();
     CountUnfinished();
     if (closes) return Linger();
@@ -647,6 +667,7 @@
   std::shared_ptr<Session> session = std::move(it->second);
   waiting_.erase(it);
   session->Reply(id, std::move(response));
+  LimitResponses();
 }
 
 /// Gives up incomplete bodies while all bodies exceed their limits.
@@ -660,6 +681,17 @@
   }
 }
 
+/// Closes connections while the responses of all exceed their limits.
+void HttpServer::Impl::LimitResponses() {
+  while (std::optional<uint64_t> excess = responses_.Excess()) {
+    auto it = sessions_.find(*excess);
+    assert(it != sessions_.end());
+    std::shared_ptr<Session> session = it->second.lock();
+    assert(session);
+    session->GiveUpResponses();
+  }
+}
+
 void HttpServer::Impl::StopAccepting() {
   stopping_ = true;
   beast::error_code ignored;
@@ -673,6 +705,7 @@
   next.first_read_delay_ms = settings_.first_read_delay_ms;
   settings_ = next;
   bodies_.Apply(settings_.bodies);
+  responses_.Apply(settings_.responses);
 }
 
 void HttpServer::Impl::Close() {
--- a/banyanloft/http/http_server.h
+++ b/banyanloft/http/http_server.h
@@ -9,6 +9,7 @@
 #include "banyanloft/core/error.h"
 #include "banyanloft/http/body_budget.h"
 #include "banyanloft/http/http_message.h"
+#include "banyanloft/http/response_budget.h"
 
 namespace banyanloft {
 
@@ -28,7 +29,8 @@
   /// Requests of one connection that are in progress at a time. More are not
   /// read until a response has been written.
   size_t max_pipelined_requests = 8;
-  BodyBudgetSettings bodies;  ///< Memory of request bodies.
+  BodyBudgetSettings bodies;         ///< Memory of request bodies.
+  ResponseBudgetSettings responses;  ///< Memory of unwritten responses.
   int64_t first_read_delay_ms =
       0;  ///< Delay before a new connection is first read, in ms.
 };
@@ -62,7 +64,9 @@
 
   /// Binds and listens; returns the bound address. Call before the loop runs.
   Result<Endpoint> Start();
-  /// Responds to a request; ignored if its client has disconnected.
+  /// Responds to a request; ignored if its client has disconnected. May close
+  /// connections whose clients do not read, if all responses take too much
+  /// memory.
   void Reply(uint64_t id, HttpResponse response);
   /// Accepts no new connections; open ones close after the responses to the
   /// requests read so far, or else after their next response.
@@ -75,7 +79,7 @@
   size_t UnfinishedResponses() const;
   /// Memory of all request bodies, in bytes.
   size_t HeldBodyBytes() const;
-  /// Requests refused by the server itself, bodies given up.
+  /// Requests refused by the server itself, bodies and responses given up.
   const Counters& Counts() const;
   /// Sets the limits for requests read from now on. `listen`, `max_connections`
   /// and `first_read_delay_ms` are not changed.
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -67,6 +67,16 @@
   return bodies;
 }
 
+/// Memory of responses that clients have not read yet: a fifth of the
+/// instance's memory for long ones, so that the largest bodies fit beside them.
+ResponseBudgetSettings ClientResponses(int64_t memory_mb) {
+  size_t memory = static_cast<size_t>(memory_mb) * kBytesPerMb;
+  ResponseBudgetSettings responses;
+  responses.max_bytes = memory / 5;
+  responses.max_small_bytes = memory / 16;
+  return responses;
+}
+
 /// Total time that the machine has spent suspended, in ms.
 int64_t SuspendedMs() {
   timespec boot{};
@@ -206,6 +216,7 @@
   clients.listen = settings_.clients;
   clients.max_connections = settings_.max_clients;
   clients.bodies = ClientBodies(settings_.memory_mb, clients.max_body_bytes);
+  clients.responses = ClientResponses(settings_.memory_mb);
   client_server_ = std::make_unique<HttpServer>(io_, clients, &client_handler_);
   auto serve = [this](InternalHandler* handler, const Endpoint& listen) {
     HttpServerSettings server;
@@ -386,6 +397,7 @@
   next.max_header_bytes = limits.max_header_bytes;
   next.max_body_bytes = limits.max_body_bytes;
   next.bodies = ClientBodies(settings_.memory_mb, limits.max_body_bytes);
+  next.responses = ClientResponses(settings_.memory_mb);
   next.header_timeout_ms = limits.header_timeout_ms;
   next.read_timeout_ms = settings_.body_timeout_ms;
   next.idle_timeout_ms = limits.idle_timeout_ms;
--- a/tests/uncontrolled_clients_test.cc
+++ b/tests/uncontrolled_clients_test.cc
@@ -310,6 +310,27 @@
   CheckClients(60, ChunksOf(9000000), 4000);
 }
 
+/// Guards against responses that are held for clients that do not read them,
+/// until the memory is exceeded.
+TEST(uncontrolled_clients, manyLargeResponsesAreNotRead_memoryIsBounded) {
+  constexpr int kClients = 80;
+  constexpr int64_t kBetweenMs = 45;
+  settings_.backend.response_bytes = 3100000;
+  settings_.backend.run_ms = 20;
+  StartFleet();
+  std::vector<std::unique_ptr<ClientConnection>> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.push_back(std::make_unique<ClientConnection>());
+    CHECK(clients.back()->Open(fleet_->Clients(0).port, true));
+    CHECK(clients.back()->Write(
+        Head(static_cast<size_t>(i), "Content-Length: 0")));
+    SleepMs(kBetweenMs);
+  }
+  CHECK(IsAnswered(0, "small"));
+  CHECK(IsAnswered(1, "small"));
+  CheckMemory();
+}
+
 /// Guards against a limit of the memory that refuses a body within the limits,
 /// and against a body that is copied until it exceeds the memory.
 TEST(uncontrolled_clients, oneBodyOf64MiB_isServedWithinMemory) {
