Refuse a long request when it begins to arrive

What callers saw: six clients at six instances of 160 MB send a body of 60 MB each to a service with two backend servers.

Cause: BackendRunner looked at the memory of all bodies only when a body had arrived whole. Until then nothing bounded what a daemon assembles from all its links.

Change: the first frame of a long request names it and the length of its body. BackendRunner counts bodies that are arriving together with those it holds, and refuses a request as overloaded and not run when it begins; the rest of it is dropped. What is announced is counted until the request has arrived, its link is lost or its deadline has passed.

Evidence: uncontrolled_clients/largeBodiesOfSeveralDaemons_memoryIsBounded fails before (177 MB of 160) and passes now (71 MB).

--- a/banyanloft/links/frame.cc
+++ b/banyanloft/links/frame.cc
@@ -1,6 +1,7 @@
 #include "banyanloft/links/frame.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace banyanloft {
 namespace {
@@ -17,6 +18,12 @@
   return header;
 }
 
+bool IsWellFormed(const std::string& frame) {
+  return frame.size() > kHeaderBytes && (frame[0] & ~kLastFrameFlag) == 0;
+}
+
+bool IsLast(const std::string& frame) { return frame[0] == kLastFrameFlag; }
+
 uint32_t StreamOf(const std::string& frame) {
   uint32_t id = 0;
   for (size_t i = 0; i < 4; ++i) {
@@ -83,13 +90,25 @@
   return std::nullopt;
 }
 
+std::optional<std::string_view> FrameAssembler::BeginningIn(
+    const std::string& frame) const {
+  if (!IsWellFormed(frame) || IsLast(frame)) return std::nullopt;
+  uint32_t id = StreamOf(frame);
+  if (partial_.count(id) != 0 || dropped_.count(id) != 0) return std::nullopt;
+  return std::string_view(frame).substr(kHeaderBytes);
+}
+
+void FrameAssembler::Drop(const std::string& frame) {
+  assert(BeginningIn(frame));
+  dropped_.insert(StreamOf(frame));
+}
+
 Result<std::optional<std::string>> FrameAssembler::Push(
     const std::string& frame) {
-  if (frame.size() <= kHeaderBytes || (frame[0] & ~kLastFrameFlag) != 0) {
+  if (!IsWellFormed(frame))
     return Error{ErrorKind::kProtocolError, "malformed frame"};
-  }
   uint32_t id = StreamOf(frame);
-  bool last = frame[0] == kLastFrameFlag;
+  bool last = IsLast(frame);
   if (dropped_.count(id) != 0) {
     if (last) dropped_.erase(id);
     return std::optional<std::string>();
--- a/banyanloft/links/frame.h
+++ b/banyanloft/links/frame.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -77,6 +78,12 @@
   /// Processes a frame. Returns the message that it completes, nothing if it
   /// completes none, or an error if the frame or its message was dropped.
   Result<std::optional<std::string>> Push(const std::string& frame);
+  /// What a frame holds of its message if it is the first of several frames;
+  /// empty otherwise.
+  std::optional<std::string_view> BeginningIn(const std::string& frame) const;
+  /// Drops the message whose first frame this is: further frames of it are
+  /// ignored.
+  void Drop(const std::string& frame);
   /// Bytes of messages that are still incomplete.
   size_t PartialBytes() const { return partial_bytes_; }
 
--- a/banyanloft/links/link_hub.cc
+++ b/banyanloft/links/link_hub.cc
@@ -123,6 +123,7 @@
   LinkPtr FindLink(const std::string& peer);
   void OnAccepted(Handle handle);
   void OnFrame(Handle handle, const std::string& payload);
+  bool DropRefused(const LinkPtr& link, const std::string& frame);
   void OnChallenge(const LinkPtr& link, const std::string& payload);
   void OnHello(const LinkPtr& link, const std::string& payload);
   void OnClosed(Handle handle);
@@ -333,6 +334,7 @@
     return link->outbound ? OnChallenge(link, payload) : OnHello(link, payload);
   }
 
+  if (DropRefused(link, payload)) return;
   Result<std::optional<std::string>> assembled = link->in.Push(payload);
   if (const Error* error = ErrorOf(assembled)) {
     counters_.Add("link_refusals_total", error->detail);
@@ -350,6 +352,19 @@
   listener_->OnLinkMessage(link->peer, std::move(*ValueOf(message)));
 }
 
+/// Drops a request that begins with `frame` if the listener refuses it. False
+/// if it is to be received.
+bool LinkHub::Impl::DropRefused(const LinkPtr& link, const std::string& frame) {
+  std::optional<std::string_view> beginning = link->in.BeginningIn(frame);
+  if (!beginning) return false;
+  std::optional<BegunRequest> begun = DecodeBegunRequest(*beginning);
+  if (!begun || listener_->OnLinkRequestBegins(link->peer, std::move(*begun)))
+    return false;
+  counters_.Add("link_refusals_total", "request refused at its beginning");
+  link->in.Drop(frame);
+  return true;
+}
+
 /// The connecting side proves that it knows the secret and chooses the highest
 /// protocol version that both sides support.
 void LinkHub::Impl::OnChallenge(const LinkPtr& link,
--- a/banyanloft/links/link_hub.h
+++ b/banyanloft/links/link_hub.h
@@ -59,6 +59,15 @@
   virtual ~LinkListener() = default;
   /// A message arrived from the peer with the link address `link`.
   virtual void OnLinkMessage(const std::string& link, PeerMessage message) = 0;
+  /// A request with a long body begins to arrive. False: the listener has
+  /// answered it, and the rest of it is dropped; otherwise OnLinkMessage()
+  /// follows.
+  virtual bool OnLinkRequestBegins(const std::string& link,
+                                   BegunRequest begun) {
+    (void)link;
+    (void)begun;
+    return true;
+  }
   /// No byte of the message was sent to the peer.
   virtual void OnLinkNotSent(const std::string& link, PeerMessage message) = 0;
   /// A link was closed; messages under way may be lost.
--- a/banyanloft/links/peer_message.cc
+++ b/banyanloft/links/peer_message.cc
@@ -593,20 +593,22 @@
   if (!list.Done()) r->Fail();
 }
 
-/// Where the body of an encoded ForwardRequest is.
-struct BodyRange {
-  size_t item = 0;   ///< Of its byte string, with the head.
-  size_t begin = 0;  ///< Of its bytes.
-  size_t end = 0;
+/// Number of fields of an encoded ForwardRequest before its body.
+constexpr uint64_t kFieldsBeforeBody = 12;
+
+/// Where the parts of an encoded ForwardRequest are.
+struct LongBody {
+  size_t fields = 0;  ///< Of its first field.
+  size_t item = 0;    ///< Of the body's byte string, with the head.
+  size_t begin = 0;   ///< Of the body's bytes.
+  uint64_t size = 0;  ///< Of the body, which may not be whole.
 };
 
 /// Finds a long body without decoding the message; empty if there is none.
-std::optional<BodyRange> FindLongBody(std::string_view bytes) {
+std::optional<LongBody> FindLongBody(std::string_view bytes) {
   constexpr int kUnsignedType = 0;
   constexpr int kBytesType = 2;
   constexpr int kArrayType = 4;
-  constexpr uint64_t kFieldsBefore = 12;
-  if (bytes.size() < kMinSharedBytes) return std::nullopt;
   auto outer = ReadCborItemHead(bytes, 0);
   if (!outer || outer->major != kArrayType) return std::nullopt;
   auto tag = ReadCborItemHead(bytes, outer->end);
@@ -616,19 +618,17 @@
   if (!forward) return std::nullopt;
   auto fields = ReadCborItemHead(bytes, tag->end);
   if (!fields || fields->major != kArrayType ||
-      fields->argument <= kFieldsBefore)
+      fields->argument <= kFieldsBeforeBody)
     return std::nullopt;
   std::optional<size_t> at = fields->end;
-  for (uint64_t i = 0; at && i < kFieldsBefore; ++i)
+  for (uint64_t i = 0; at && i < kFieldsBeforeBody; ++i)
     at = SkipCborItem(bytes, *at);
   if (!at) return std::nullopt;
   auto body = ReadCborItemHead(bytes, *at);
-  bool found = body && body->major == kBytesType &&
-               body->argument >= kMinSharedBytes &&
-               body->argument <= bytes.size() - body->end;
+  bool found =
+      body && body->major == kBytesType && body->argument >= kMinSharedBytes;
   if (!found) return std::nullopt;
-  return BodyRange{*at, body->end,
-                   body->end + static_cast<size_t>(body->argument)};
+  return LongBody{fields->end, *at, body->end, body->argument};
 }
 
 Json EncodeRollouts(const std::vector<RolloutState>& states) {
@@ -719,18 +719,37 @@
 }
 
 Result<PeerMessage> DecodePeerMessageInPlace(std::string bytes) {
-  std::optional<BodyRange> body = FindLongBody(bytes);
-  if (!body) return DecodePeerMessage(bytes);
+  if (bytes.size() < kMinSharedBytes) return DecodePeerMessage(bytes);
+  std::optional<LongBody> body = FindLongBody(bytes);
+  if (!body || body->size > bytes.size() - body->begin)
+    return DecodePeerMessage(bytes);
+  size_t end = body->begin + static_cast<size_t>(body->size);
   std::string bare =
-      bytes.substr(0, body->item) + CborBytesHead(0) + bytes.substr(body->end);
+      bytes.substr(0, body->item) + CborBytesHead(0) + bytes.substr(end);
   Result<PeerMessage> message = DecodePeerMessage(bare);
   if (ErrorOf(message) != nullptr) return message;
-  bytes.resize(body->end);
+  bytes.resize(end);
   bytes.erase(0, body->begin);
   std::get<ForwardRequest>(*ValueOf(message)).body = std::move(bytes);
   return message;
 }
 
+std::optional<BegunRequest> DecodeBegunRequest(std::string_view beginning) {
+  std::optional<LongBody> body = FindLongBody(beginning);
+  if (!body) return std::nullopt;
+  // The message without what follows the body, which has not arrived.
+  constexpr char kArrayHead = '\x80';
+  std::string bare{kArrayHead | 2,
+                   static_cast<char>(MessageTag::kForwardRequest),
+                   static_cast<char>(kArrayHead | (kFieldsBeforeBody + 1))};
+  bare += beginning.substr(body->fields, body->item - body->fields);
+  bare += CborBytesHead(0);
+  Result<PeerMessage> message = DecodePeerMessage(bare);
+  if (ErrorOf(message) != nullptr) return std::nullopt;
+  return BegunRequest{std::get<ForwardRequest>(std::move(*ValueOf(message))),
+                      static_cast<size_t>(body->size)};
+}
+
 std::string EncodeDatagram(const Datagram& d, const std::string& secret) {
   Json subject = d.subject.id != 0 ? Encode(d.subject) : Json(nullptr);
   Json fields = Json::array(
--- a/banyanloft/links/peer_message.h
+++ b/banyanloft/links/peer_message.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "banyanloft/calls/call_types.h"
@@ -43,6 +45,15 @@
 /// `bytes`.
 Result<PeerMessage> DecodePeerMessageInPlace(std::string bytes);
 
+/// A request with a long body that has begun to arrive.
+struct BegunRequest {
+  ForwardRequest request;  ///< Without its body and the fields behind it.
+  size_t body_bytes = 0;   ///< Length of its body.
+};
+/// Decodes the beginning of a message. Empty if it is no ForwardRequest with a
+/// long body, or if the body has not begun.
+std::optional<BegunRequest> DecodeBegunRequest(std::string_view beginning);
+
 /// Encodes a datagram as CBOR, preceded by its HMAC under the fleet's secret.
 std::string EncodeDatagram(const Datagram& datagram, const std::string& secret);
 /// Verifies the HMAC and decodes the datagram; kProtocolError if it is invalid.
--- a/banyanloft/mesh/backend_runner.cc
+++ b/banyanloft/mesh/backend_runner.cc
@@ -9,6 +9,10 @@
 namespace banyanloft {
 namespace {
 
+/// Length from which a body is long. The memory of shorter ones is bounded by
+/// the number of requests.
+constexpr size_t kMinLongBodyBytes = 16 * 1024;
+
 std::string HexOf(const std::vector<uint64_t>& fingerprints) {
   return fmt::format("{:016x}", fmt::join(fingerprints, ","));
 }
@@ -94,8 +98,22 @@
   return reported.empty() ? settings_.service : reported;
 }
 
-void BackendRunner::OnForward(TimeMs now, const std::string& from_link,
-                              ForwardRequest request, Actions* actions) {
+bool BackendRunner::OnForwardBegins(TimeMs now, const std::string& from_link,
+                                    ForwardRequest request, size_t body_bytes,
+                                    Actions* actions) {
+  size_t held_bytes = LongBodyBytes() + ArrivingBytes();
+  if (held_bytes == 0 || held_bytes + body_bytes <= settings_.max_body_bytes) {
+    arriving_[ForwardOrigin{from_link, request.attempt}] = {
+        body_bytes, now + request.remaining_ms};
+    return true;
+  }
+  uint64_t id = AddWork(now, from_link, std::move(request));
+  Refuse(now, id, ErrorKind::kOverloaded, 0, 0, actions);
+  return false;
+}
+
+uint64_t BackendRunner::AddWork(TimeMs now, const std::string& from_link,
+                                ForwardRequest request) {
   counters_.Add("runs_offered_total");
   uint64_t id = next_work_++;
   Work& work = works_[id];
@@ -105,7 +123,17 @@
   work.fingerprint = RequestFingerprint(request.target, request.body);
   work.request = std::move(request);
   work_by_origin_[work.from] = id;
-  if (std::optional<ErrorKind> error = CheckNew(now, work)) {
+  return id;
+}
+
+void BackendRunner::OnForward(TimeMs now, const std::string& from_link,
+                              ForwardRequest request, Actions* actions) {
+  uint64_t id = AddWork(now, from_link, std::move(request));
+  const Work& work = works_.at(id);
+  bool fits = arriving_.erase(work.from) > 0 || !ExceedsMemory(work.request);
+  std::optional<ErrorKind> error = CheckNew(now, work);
+  if (!error && !fits) error = ErrorKind::kOverloaded;
+  if (error) {
     bool crash = error == ErrorKind::kCrashSuspect;
     return Refuse(now, id, *error, crash ? settings_.crash_retry_after_ms : 0,
                   0, actions);
@@ -155,7 +183,6 @@
   bool crashes =
       crash_guard_.Check(now, work.fingerprint) == CrashGuard::Verdict::kRefuse;
   if (crashes) return ErrorKind::kCrashSuspect;
-  if (ExceedsMemory(work.request)) return ErrorKind::kOverloaded;
   return std::nullopt;
 }
 
@@ -163,13 +190,29 @@
 /// limit.
 bool BackendRunner::ExceedsMemory(const ForwardRequest& request) const {
   // Requests without a long body are not worth the sum.
-  constexpr size_t kMinBytes = 16 * 1024;
-  if (request.body.size() < kMinBytes) return false;
-  size_t bytes = 0;
+  if (request.body.size() < kMinLongBodyBytes) return false;
+  size_t bytes = ArrivingBytes();
   for (const auto& [id, work] : works_) bytes += work.request.body.size();
   return bytes > request.body.size() && bytes > settings_.max_body_bytes;
 }
 
+/// Memory of the long bodies that have arrived.
+size_t BackendRunner::LongBodyBytes() const {
+  size_t bytes = 0;
+  for (const auto& [id, work] : works_) {
+    size_t size = work.request.body.size();
+    if (size >= kMinLongBodyBytes) bytes += size;
+  }
+  return bytes;
+}
+
+/// Memory that the long bodies that are arriving take in the end.
+size_t BackendRunner::ArrivingBytes() const {
+  size_t bytes = 0;
+  for (const auto& [origin, body] : arriving_) bytes += body.bytes;
+  return bytes;
+}
+
 bool BackendRunner::FinishesBeforeStop(TimeMs now,
                                        const std::string& route) const {
   if (!stop_at_) return true;
@@ -457,6 +500,9 @@
 
 void BackendRunner::OnPeerLost(TimeMs now, const std::string& link,
                                Actions* actions) {
+  auto arriving = arriving_.lower_bound(ForwardOrigin{link, 0});
+  while (arriving != arriving_.end() && arriving->first.link == link)
+    arriving = arriving_.erase(arriving);
   std::vector<uint64_t> attempts;
   for (auto it = work_by_origin_.lower_bound(ForwardOrigin{link, 0});
        it != work_by_origin_.end() && it->first.link == link; ++it)
@@ -786,6 +832,8 @@
   admission_.Tick(now, &decisions);
   ApplyDecisions(now, decisions, actions);
   crash_guard_.Tick(now);
+  for (auto it = arriving_.begin(); it != arriving_.end();)
+    it = it->second.deadline <= now ? arriving_.erase(it) : std::next(it);
 
   if (MustProbe(now)) Probe(now, actions);
 }
--- a/banyanloft/mesh/backend_runner.h
+++ b/banyanloft/mesh/backend_runner.h
@@ -54,8 +54,9 @@
   /// crashing backend servers, in ms. After fewer crashes it is still run, but
   /// not concurrently with another suspected request.
   int64_t crash_retry_after_ms = 5000;
-  /// Memory of the bodies of all requests here, in bytes; more are refused. A
-  /// request is not refused if no other has a body.
+  /// Memory of the bodies of all requests here, also of those that are still
+  /// arriving, in bytes; more are refused. A request is not refused if no other
+  /// has a body.
   size_t max_body_bytes = 256 * 1024 * 1024;
 };
 
@@ -154,6 +155,12 @@
   BackendRunner(const BackendRunnerSettings& settings, uint64_t seed,
                 TimeMs now);
 
+  /// An attempt with a body of `body_bytes` begins to arrive; `request` has no
+  /// body. False if the attempt was refused because the bodies of all exceed
+  /// the memory; otherwise OnForward() follows.
+  bool OnForwardBegins(TimeMs now, const std::string& from_link,
+                       ForwardRequest request, size_t body_bytes,
+                       Actions* actions);
   /// An attempt arrived.
   void OnForward(TimeMs now, const std::string& from_link,
                  ForwardRequest request, Actions* actions);
@@ -223,6 +230,12 @@
     uint64_t server_start = 0;  ///< InstanceRegistry::Starts() at the start.
   };
 
+  /// Counted until its attempt has arrived, or can no longer be run.
+  struct ArrivingBody {
+    size_t bytes = 0;
+    TimeMs deadline;
+  };
+
   static bool IsLeaving(InstanceState state);
   bool MovesOn(TimeMs now, const ForwardRequest& request,
                AdmissionRequest offer) const;
@@ -230,6 +243,10 @@
                      int64_t retry_after_ms, Actions* actions);
   std::optional<ErrorKind> CheckNew(TimeMs now, const Work& work) const;
   bool ExceedsMemory(const ForwardRequest& request) const;
+  size_t LongBodyBytes() const;
+  size_t ArrivingBytes() const;
+  uint64_t AddWork(TimeMs now, const std::string& from_link,
+                   ForwardRequest request);
   bool FinishesBeforeStop(TimeMs now, const std::string& route) const;
   void RefuseUnfinishable(TimeMs now, Actions* actions);
   void ApplyDecisions(TimeMs now,
@@ -283,6 +300,8 @@
   uint64_t next_work_ = 1;
   std::map<uint64_t, Work> works_;
   std::map<ForwardOrigin, uint64_t> work_by_origin_;
+  /// Bodies of attempts that have begun to arrive.
+  std::map<ForwardOrigin, ArrivingBody> arriving_;
   LostRuns lost_runs_;
   bool probing_ = false;
   TimeMs probed_at_;           ///< When the last health check was sent.
--- a/banyanloft/mesh/mesh_node.cc
+++ b/banyanloft/mesh/mesh_node.cc
@@ -225,6 +225,15 @@
   DispatchConfig(now, std::move(changes), actions);
 }
 
+bool MeshNode::OnPeerRequestBegins(TimeMs now, const std::string& link,
+                                   BegunRequest begun, Actions* actions) {
+  BackendRunner::Actions runs;
+  bool accepted = runner_.OnForwardBegins(now, link, std::move(begun.request),
+                                          begun.body_bytes, &runs);
+  DispatchRunner(now, std::move(runs), actions);
+  return accepted;
+}
+
 void MeshNode::OnPeerNotSent(TimeMs now, const PeerMessage& message,
                              Actions* actions) {
   const auto* forward = std::get_if<ForwardRequest>(&message);
--- a/banyanloft/mesh/mesh_node.h
+++ b/banyanloft/mesh/mesh_node.h
@@ -106,6 +106,10 @@
   /// Events from peers.
   void OnPeerMessage(TimeMs now, const std::string& link, PeerMessage message,
                      Actions* actions);
+  /// A request with a long body begins to arrive. False: it is refused, and
+  /// the rest of it is to be dropped.
+  bool OnPeerRequestBegins(TimeMs now, const std::string& link,
+                           BegunRequest begun, Actions* actions);
   void OnPeerNotSent(TimeMs now, const PeerMessage& message, Actions* actions);
   void OnPeerLost(TimeMs now, const std::string& link, Actions* actions);
   void OnPeerSilent(TimeMs now, const std::string& link);
--- a/banyanloft/mesh/sidecar.cc
+++ b/banyanloft/mesh/sidecar.cc
@@ -165,6 +165,8 @@
   HttpResponse HandleMetrics(const HttpRequest& request);
 
   void OnLinkMessage(const std::string& link, PeerMessage message) override;
+  bool OnLinkRequestBegins(const std::string& link,
+                           BegunRequest begun) override;
   void OnLinkNotSent(const std::string& link, PeerMessage message) override;
   void OnLinkLost(const std::string& link) override;
   void OnLinkSilent(const std::string& link) override {
@@ -547,6 +549,15 @@
   });
 }
 
+bool Sidecar::Impl::OnLinkRequestBegins(const std::string& link,
+                                        BegunRequest begun) {
+  bool accepted = true;
+  RunStep([&](TimeMs now, MeshNode::Actions* actions) {
+    accepted = node_->OnPeerRequestBegins(now, link, std::move(begun), actions);
+  });
+  return accepted;
+}
+
 void Sidecar::Impl::OnLinkNotSent(const std::string&, PeerMessage message) {
   // Called from within a call to the node, which is not reentrant.
   auto shared = std::make_shared<PeerMessage>(std::move(message));
--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -176,6 +176,14 @@
     runner_->OnReport(TimeMs(0), ReportOf(sequence, draining), &actions_);
     runner_->OnProbed(TimeMs(0), ProbeResult{true, "i-1", {}}, &actions_);
   }
+  bool Begins(uint64_t attempt, size_t body_bytes) {
+    ForwardRequest request;
+    request.attempt = attempt;
+    request.service = "s";
+    request.remaining_ms = 1000;
+    return runner_->OnForwardBegins(TimeMs(0), "peer:1", request, body_bytes,
+                                    &actions_);
+  }
   void Forward(TimeMs now, uint64_t attempt, bool idempotent,
                const std::string& body = "", int64_t remaining_ms = 1000) {
     ForwardRequest request;
@@ -297,6 +305,48 @@
   CHECK(AnswerOf(3) == nullptr);
 }
 
+/// Guards against bodies that exceed the memory while they arrive.
+TEST(backend_runner, arrivingBodiesExceedTheMemory_newOnesAreRefusedAtOnce) {
+  BackendRunnerSettings settings;
+  settings.service = "s";
+  settings.address = kAddress;
+  settings.max_body_bytes = 100000;
+  runner_ = std::make_unique<BackendRunner>(settings, 1, TimeMs(0));
+  Report(1);
+  Forward(TimeMs(0), 1, false, "small");
+  CHECK(Begins(2, 150000));
+  CHECK(!Begins(3, 20000));
+  CHECK(AnswerOf(3)->error == ErrorKind::kOverloaded);
+  CHECK(AnswerOf(3)->run_state == RunState::kNotRun);
+  // The one that has arrived whole is not refused after all.
+  Forward(TimeMs(0), 2, false, std::string(150000, 'x'));
+  CHECK(AnswerOf(2) == nullptr);
+  CHECK(!Begins(4, 20000));
+}
+
+/// Guards against memory that stays reserved for what no longer arrives.
+TEST(backend_runner, linkIsLostWhileABodyArrives_itsMemoryIsFree) {
+  BackendRunnerSettings settings;
+  settings.max_body_bytes = 100000;
+  runner_ = std::make_unique<BackendRunner>(settings, 1, TimeMs(0));
+  CHECK(Begins(1, 90000));
+  CHECK(!Begins(2, 20000));
+  runner_->OnPeerLost(TimeMs(0), "peer:1", &actions_);
+  CHECK(Begins(3, 20000));
+}
+
+/// The same for a request whose rest never comes on a link that stays open.
+TEST(backend_runner, deadlineOfArrivingBodyPasses_itsMemoryIsFree) {
+  BackendRunnerSettings settings;
+  settings.max_body_bytes = 100000;
+  runner_ = std::make_unique<BackendRunner>(settings, 1, TimeMs(0));
+  CHECK(Begins(1, 90000));
+  runner_->Tick(TimeMs(999), &actions_);
+  CHECK(!Begins(2, 20000));
+  runner_->Tick(TimeMs(1000), &actions_);
+  CHECK(Begins(3, 20000));
+}
+
 TEST(backend_runner, forward_otherService_refusedAsNotRun) {
   Report(1);
   ForwardRequest request;
--- a/tests/link_test.cc
+++ b/tests/link_test.cc
@@ -254,6 +254,52 @@
   }
 }
 
+TEST(link, beginningOfLongRequest_namesTheRequestAndTheLengthOfItsBody) {
+  ForwardRequest request;
+  request.attempt = 7;
+  request.request_id = "id";
+  request.target = "/x";
+  request.headers = {{"A", "b"}};
+  request.body = std::string(100000, 'x');
+  std::string bytes = EncodePeerMessage(request);
+  std::optional<BegunRequest> begun =
+      DecodeBegunRequest(std::string_view(bytes).substr(0, 16 * 1024));
+  CHECK(begun.has_value());
+  CHECK_EQUAL(request.body.size(), begun->body_bytes);
+  CHECK_EQUAL(request.attempt, begun->request.attempt);
+  CHECK(begun->request.request_id == "id");
+  CHECK(begun->request.headers == request.headers);
+  CHECK(begun->request.body.size() == 0);
+  // Too little, no long body, another message.
+  CHECK(!DecodeBegunRequest(std::string_view(bytes).substr(0, 10)));
+  request.body = std::string(100, 'x');
+  CHECK(!DecodeBegunRequest(EncodePeerMessage(request)));
+  CHECK(!DecodeBegunRequest(EncodePeerMessage(Request(1, 100000))));
+}
+
+TEST(link, droppedAtItsFirstFrame_takesNoMemoryAndAffectsNoOther) {
+  FrameScheduler scheduler(frames_);
+  FrameAssembler assembler(frames_);
+  scheduler.Push(0, 1, std::string(250, 'a'));
+  scheduler.Push(0, 2, std::string(250, 'b'));
+  std::vector<std::string> received;
+  std::optional<uint64_t> started;
+  while (std::optional<std::string> frame = scheduler.Pop(&started)) {
+    std::optional<std::string_view> beginning = assembler.BeginningIn(*frame);
+    CHECK(beginning.has_value() == started.has_value());
+    if (started == uint64_t{1}) {
+      CHECK(*beginning == std::string(100, 'a'));
+      assembler.Drop(*frame);
+      continue;
+    }
+    Result<std::optional<std::string>> assembled = assembler.Push(*frame);
+    if (*ValueOf(assembled)) received.push_back(**ValueOf(assembled));
+  }
+  LONGS_EQUAL(1, received.size());
+  CHECK(received[0] == std::string(250, 'b'));
+  CHECK_EQUAL(size_t{0}, assembler.PartialBytes());
+}
+
 /// Guards against a message that is within the limits and never fits.
 TEST(link, messageLongerThanTheQueue_isTakenByAnEmptyQueue) {
   frames_.max_queued_bytes = 1000;
--- a/tests/uncontrolled_clients_test.cc
+++ b/tests/uncontrolled_clients_test.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <poll.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -190,6 +191,7 @@
   IgnoringObserver observer_;
   std::unique_ptr<ProcessFleet> fleet_;
   size_t memory_mb_ = 160;
+  int next_id_ = 0;
 
   void setup() override {
     // Below the ephemeral ports: a client connection that waits for its end
@@ -232,36 +234,42 @@
                  : static_cast<size_t>(std::distance(begin(files), end(files)));
   }
 
+  /// Sends a request. Returns the status of the response; 0 if there is none.
+  int StatusOf(int instance, const std::string& id, const std::string& body) {
+    ClientConnection client;
+    int status = 0;
+    bool complete =
+        client.Open(fleet_->Clients(instance).port, false, kClientTimeoutMs) &&
+        client.Write(fmt::format("POST /register/ordinary HTTP/1.1\r\n"
+                                 "Host: {}\r\n{}: {}\r\n{}: {}\r\n"
+                                 "Content-Length: {}\r\n\r\n",
+                                 kMeshHost, wire::header::kRequestId, id,
+                                 wire::header::kDeadlineMs, kClientTimeoutMs,
+                                 body.size()) +
+                     body) &&
+        client.ReadResponse(0, &status);
+    return complete ? status : 0;
+  }
+
   /// Sends a request until it gets a response of the backend server.
   bool IsAnswered(int instance, const std::string& body) {
     TimeMs end = Now() + kAnswerWithinMs;
-    for (int number = 0; Now() < end; ++number) {
-      ClientConnection client;
-      int status = 0;
-      bool complete =
-          client.Open(fleet_->Clients(instance).port, false,
-                      kClientTimeoutMs) &&
-          client.Write(fmt::format("POST /register/ordinary HTTP/1.1\r\n"
-                                   "Host: {}\r\n{}: ordinary-{}-{}\r\n"
-                                   "{}: {}\r\nContent-Length: {}\r\n\r\n",
-                                   kMeshHost, wire::header::kRequestId,
-                                   instance, number, wire::header::kDeadlineMs,
-                                   kClientTimeoutMs, body.size()) +
-                       body) &&
-          client.ReadResponse(0, &status);
-      if (complete && status == 200) return true;
-      SleepMs(100);
+    for (; Now() < end; SleepMs(100)) {
+      std::string id = fmt::format("ordinary-{}-{}", instance, next_id_++);
+      if (StatusOf(instance, id, body) == 200) return true;
     }
     return false;
   }
 
+  void CheckMemory(int instance) {
+    size_t peak_mb = PeakMb(instance);
+    fmt::print("  daemon {}: peak {} MB of {}\n", instance, peak_mb,
+               memory_mb_);
+    CHECK(peak_mb > 0);
+    CHECK(peak_mb <= memory_mb_);
+  }
   void CheckMemory() {
-    for (int i = 0; i < settings_.instances; ++i) {
-      size_t peak_mb = PeakMb(i);
-      fmt::print("  daemon {}: peak {} MB of {}\n", i, peak_mb, memory_mb_);
-      CHECK(peak_mb > 0);
-      CHECK(peak_mb <= memory_mb_);
-    }
+    for (int i = 0; i < settings_.instances; ++i) CheckMemory(i);
   }
 
   /// Lets clients of the first daemon send for a time. Its service differs from
@@ -331,6 +339,34 @@
   CheckMemory();
 }
 
+/// Guards against bodies that arrive from several daemons at once and together
+/// exceed the memory of the daemon of their backend server.
+TEST(uncontrolled_clients, largeBodiesOfSeveralDaemons_memoryIsBounded) {
+  constexpr size_t kBodyBytes = 60000000;
+  constexpr int kTarget = 1;  ///< The only one of its service in the end.
+  const std::vector<int> ingresses = {0, 2, 4};
+  settings_.instances = 6;
+  settings_.max_body_bytes = 64 * 1024 * 1024;
+  settings_.backend.max_body_bytes = settings_.max_body_bytes;
+  settings_.timeout_s = 10;
+  StartFleet();
+  for (int instance : {3, 5}) fleet_->KillDaemon(instance);
+  CHECK(IsAnswered(0, "small"));
+  std::vector<int> statuses(ingresses.size());
+  std::vector<std::thread> clients;
+  for (size_t i = 0; i < ingresses.size(); ++i) {
+    clients.emplace_back([this, i, &ingresses, &statuses] {
+      statuses[i] = StatusOf(ingresses[i], fmt::format("large-{}", i),
+                             std::string(kBodyBytes, 'x'));
+    });
+  }
+  for (std::thread& client : clients) client.join();
+  for (int status : statuses) CHECK(status == 200 || status == 503);
+  CHECK(std::count(statuses.begin(), statuses.end(), 200) > 0);
+  CHECK(IsAnswered(0, "small"));
+  for (int instance : {0, kTarget, 2, 4}) CheckMemory(instance);
+}
+
 /// Guards against a limit of the memory that refuses a body within the limits,
 /// and against a body that is copied until it exceeds the memory.
 TEST(uncontrolled_clients, oneBodyOf64MiB_isServedWithinMemory) {
