--- a/tests/backend_runner_test.cc
+++ b/tests/backend_runner_test.cc
@@ -176,6 +176,15 @@
     runner_->OnReport(TimeMs(0), ReportOf(sequence, draining), &actions_);
     runner_->OnProbed(TimeMs(0), ProbeResult{true, "i-1", {}}, &actions_);
   }
+  /// Replaces the runner by one with this limit.
+  void SetMaxBodyBytes(size_t bytes) {
+    BackendRunnerSettings settings;
+    settings.service = "s";
+    settings.address = kAddress;
+    settings.max_body_bytes = bytes;
+    runner_ = std::make_unique<BackendRunner>(settings, 1, TimeMs(0));
+  }
+  /// Whether an attempt with a body of this length may arrive.
   bool Begins(uint64_t attempt, size_t body_bytes) {
     ForwardRequest request;
     request.attempt = attempt;
@@ -290,11 +299,7 @@
 
 /// Guards against bodies of other daemons that together exceed the memory.
 TEST(backend_runner, bodiesExceedTheMemory_newOnesAreRefusedAsNotRun) {
-  BackendRunnerSettings settings;
-  settings.service = "s";
-  settings.address = kAddress;
-  settings.max_body_bytes = 100000;
-  runner_ = std::make_unique<BackendRunner>(settings, 1, TimeMs(0));
+  SetMaxBodyBytes(100000);
   Report(1);
   Forward(TimeMs(0), 1, false, std::string(150000, 'x'));
   Forward(TimeMs(0), 2, false, std::string(20000, 'x'));
@@ -307,11 +312,7 @@
 
 /// Guards against bodies that exceed the memory while they arrive.
 TEST(backend_runner, arrivingBodiesExceedTheMemory_newOnesAreRefusedAtOnce) {
-  BackendRunnerSettings settings;
-  settings.service = "s";
-  settings.address = kAddress;
-  settings.max_body_bytes = 100000;
-  runner_ = std::make_unique<BackendRunner>(settings, 1, TimeMs(0));
+  SetMaxBodyBytes(100000);
   Report(1);
   Forward(TimeMs(0), 1, false, "small");
   CHECK(Begins(2, 150000));
@@ -326,9 +327,7 @@
 
 /// Guards against memory that stays reserved for what no longer arrives.
 TEST(backend_runner, linkIsLostWhileABodyArrives_itsMemoryIsFree) {
-  BackendRunnerSettings settings;
-  settings.max_body_bytes = 100000;
-  runner_ = std::make_unique<BackendRunner>(settings, 1, TimeMs(0));
+  SetMaxBodyBytes(100000);
   CHECK(Begins(1, 90000));
   CHECK(!Begins(2, 20000));
   runner_->OnPeerLost(TimeMs(0), "peer:1", &actions_);
@@ -337,9 +336,7 @@
 
 /// The same for a request whose rest never comes on a link that stays open.
 TEST(backend_runner, deadlineOfArrivingBodyPasses_itsMemoryIsFree) {
-  BackendRunnerSettings settings;
-  settings.max_body_bytes = 100000;
-  runner_ = std::make_unique<BackendRunner>(settings, 1, TimeMs(0));
+  SetMaxBodyBytes(100000);
   CHECK(Begins(1, 90000));
   runner_->Tick(TimeMs(999), &actions_);
   CHECK(!Begins(2, 20000));
--- a/tests/endless_response_processes_test.cc
+++ b/tests/endless_response_processes_test.cc
@@ -42,12 +42,6 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
-/// Accepts every request of the backend servers.
-class IgnoringObserver final : public BackendObserver {
-  void OnRequestStarted(const MeshBackend&, const std::string&,
-                        const HttpRequest&) override {}
-};
-
 std::string HeaderIn(const std::string& head, const std::string& name) {
   size_t begin = head.find(name + ": ");
   if (begin == std::string::npos) return "";
@@ -214,26 +208,11 @@
     max_unread_bytes_ = std::max(max_unread_bytes_, unread);
   }
 
-  /// The peak of the resident memory of a daemon, in MB; 0 if it has ended.
-  size_t PeakMb(int instance) {
-    if (fleet_->Daemon(instance).Reap()) return 0;
-    std::ifstream status(
-        fmt::format("/proc/{}/status", fleet_->Daemon(instance).Pid()));
-    constexpr char kName[] = "VmHWM:";
-    constexpr size_t kKbPerMb = 1024;
-    for (std::string line; std::getline(status, line);) {
-      if (line.rfind(kName, 0) == 0)
-        return std::strtoul(line.c_str() + sizeof(kName) - 1, nullptr, 10) /
-               kKbPerMb;
-    }
-    return 0;
-  }
-
   void CheckMemory(const std::string& name) {
     size_t peak_mb = 0;
     for (int i = 0; i < settings_.instances; ++i) {
-      CHECK_TEXT(PeakMb(i) > 0, name.c_str());
-      peak_mb = std::max(peak_mb, PeakMb(i));
+      CHECK_TEXT(fleet_->PeakMb(i) > 0, name.c_str());
+      peak_mb = std::max(peak_mb, fleet_->PeakMb(i));
     }
     size_t unread_mb = max_unread_bytes_ / kBytesPerMb;
     fmt::print("  {}: peak {} MB, unread in sockets {} MB\n", name, peak_mb,
--- a/tests/process_fleet.cc
+++ b/tests/process_fleet.cc
@@ -116,6 +116,19 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(kReapPeriodMs));
 }
 
+size_t ProcessFleet::PeakMb(int instance) {
+  if (Daemon(instance).Reap()) return 0;
+  std::ifstream status(fmt::format("/proc/{}/status", Daemon(instance).Pid()));
+  constexpr char kName[] = "VmHWM:";
+  constexpr size_t kKbPerMb = 1024;
+  for (std::string line; std::getline(status, line);) {
+    if (line.rfind(kName, 0) == 0)
+      return std::strtoul(line.c_str() + sizeof(kName) - 1, nullptr, 10) /
+             kKbPerMb;
+  }
+  return 0;
+}
+
 void ProcessFleet::Call(const std::function<void()>& function) {
   std::promise<void> called;
   boost::asio::post(io_, [&] {
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -34,6 +34,12 @@
   uint16_t store_port = 0;
 };
 
+/// Accepts every request of the backend servers.
+class IgnoringObserver final : public BackendObserver {
+  void OnRequestStarted(const MeshBackend&, const std::string&,
+                        const HttpRequest&) override {}
+};
+
 /// Daemons as processes on loopback, beside a simulated store and backend
 /// servers that run on a thread of their own. Not thread safe.
 class ProcessFleet {
@@ -56,6 +62,8 @@
   soak::DaemonProcess& Daemon(int instance);
   /// Kills a daemon and waits until it has ended.
   void KillDaemon(int instance);
+  /// The peak of the resident memory of a daemon, in MB; 0 if it has ended.
+  size_t PeakMb(int instance);
   /// Address at which the daemon of an instance accepts clients.
   Endpoint Clients(int instance) const { return AddressOf(instance, 1); }
   /// Address at which the daemon reaches its backend server.
--- a/tests/uncontrolled_clients_test.cc
+++ b/tests/uncontrolled_clients_test.cc
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <filesystem>
-#include <fstream>
 #include <functional>
 #include <string>
 #include <vector>
@@ -39,12 +38,6 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
-/// Accepts every request of the backend servers.
-class IgnoringObserver final : public BackendObserver {
-  void OnRequestStarted(const MeshBackend&, const std::string&,
-                        const HttpRequest&) override {}
-};
-
 /// Many connections that send all the same bytes at the same time, from one
 /// thread, and stay open.
 class ClientGroup {
@@ -211,21 +204,6 @@
     SleepMs(kStartupMs);
   }
 
-  /// The peak of the resident memory of a daemon, in MB; 0 if it has ended.
-  size_t PeakMb(int instance) {
-    if (fleet_->Daemon(instance).Reap()) return 0;
-    std::ifstream status(
-        fmt::format("/proc/{}/status", fleet_->Daemon(instance).Pid()));
-    constexpr char kName[] = "VmHWM:";
-    for (std::string line; std::getline(status, line);) {
-      if (line.rfind(kName, 0) != 0) continue;
-      constexpr size_t kKbPerMb = 1024;
-      return std::strtoul(line.c_str() + sizeof(kName) - 1, nullptr, 10) /
-             kKbPerMb;
-    }
-    return 0;
-  }
-
   size_t Descriptors(int instance) {
     std::error_code error;
     std::filesystem::directory_iterator files(
@@ -262,7 +240,7 @@
   }
 
   void CheckMemory(int instance) {
-    size_t peak_mb = PeakMb(instance);
+    size_t peak_mb = fleet_->PeakMb(instance);
     fmt::print("  daemon {}: peak {} MB of {}\n", instance, peak_mb,
                memory_mb_);
     CHECK(peak_mb > 0);
